--- /dev/null
+++ b/src/main/java/dillcross/Logic.java
@@ -0,0 +1,703 @@
+package dillcross;
+
+import dillcross.model.Category;
+import dillcross.model.ColdRule;
+import dillcross.model.Decision;
+import dillcross.model.Effect;
+import dillcross.model.Endpoint;
+import dillcross.model.Load;
+import dillcross.model.Outcome;
+import dillcross.model.PushRule;
+import dillcross.model.Tenant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeSet;
+
+/**
+ * Every decision of one sidecar. How to call it: tell it what happened (list, listFailed, arrive, ended,
+ * streaming, left, woken), each with the clock in whole microseconds; these only note what is known. Then
+ * pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is these methods and
+ * the types of {@code dillcross.model}.
+ *
+ * <p>The design decides the ordinary path: five failures in a row eject an endpoint, a jittered penalty ends in
+ * one real op on probation, a failed probation doubles the penalty, and among the rest two random choices by
+ * smoothed latency x (own in flight + 1). Beside it stand these mechanisms, each named where it acts:
+ * <ol>
+ * <li>Cold cap: a fresh or returned endpoint gets pushes as its answers and our part of its budget allow.
+ * <li>Silence: an overdue push counts as a failure before its TTL, and its age lifts the latency.
+ * <li>Further pushes: second copies and retries on a budget that grows with first pushes.
+ * <li>Admission: an in-flight limit for each endpoint, learned from latency; a short wait, then a nack.
+ * <li>Part failures: a smoothed failure share ejects as a run does.
+ * <li>Tenant fairness: under pressure, ops beyond a tenant's part of the traffic wait behind the others.
+ * </ol>
+ */
+public final class Logic {
+    private static final int RUN_TO_EJECT = 5; // the design's threshold
+    private static final long LAST_PENALTY_US = 60_000_000; // the design's ceiling
+    private static final long FIRST_PENALTY_US = 1_000_000; // short, so that a pause costs little
+    private static final double JITTER = 0.2; // of a penalty, as in the post
+    private static final double SHARE_TO_EJECT = 0.4; // failure share; at 0.1 a step a run of five crosses it too
+    private static final double SMOOTH = 0.15; // of a new latency in an endpoint's estimate
+    private static final long FORGET_US = 10_000_000; // a slow endpoint without answers is tried again after this
+    private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
+    private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
+    private static final double FIRST_LIMIT = 8; // in flight at an endpoint, before anything is learned
+    private static final double PRESSED = 0.6; // latency over target latency at which the limit stops growing
+    private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
+    private static final double SPARE_MOST = 20;
+    private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
+    private static final double COLD_PART = 0.5; // of our part of a cold endpoint's budget
+
+    // ---- For one push
+    private static final class Push {
+        final Op op;
+        final int number;
+        final Server to;
+        final long sentUs;
+        final boolean probation;
+        Outcome end; // null while out
+        boolean silent; // has been counted as a failure for its silence
+
+        Push(Op op, int number, Server to, long sentUs, boolean probation) {
+            this.op = op;
+            this.number = number;
+            this.to = to;
+            this.sentUs = sentUs;
+            this.probation = probation;
+        }
+
+        /** It may have run, or may still. */
+        boolean risky() {
+            return end == null || end.mayHaveRun;
+        }
+    }
+
+    // ---- For one op
+    private static final class Op {
+        final long id;
+        final Kind kind;
+        final long bornUs;
+        final long endUs;
+        final long order;
+        double rank;
+        final List<Push> pushes = new ArrayList<>(2);
+        int out;
+        boolean over;
+        boolean begun; // its answer has begun to stream: it belongs to the client now
+
+        Op(long id, Kind kind, long bornUs, long endUs, long order) {
+            this.id = id;
+            this.kind = kind;
+            this.bornUs = bornUs;
+            this.endUs = endUs;
+            this.order = order;
+        }
+    }
+
+    /** A category and what has been seen of it. */
+    private static final class Kind {
+        final Category is;
+        double meanUs; // smoothed latency of its answers
+        int answers;
+
+        Kind(Category is) {
+            this.is = is;
+            meanUs = is.targetUs() / 4.0; // until the first answer
+        }
+
+        void answered(double us) {
+            answers++;
+            meanUs += (us - meanUs) * Math.max(0.02, 1.0 / answers);
+        }
+    }
+
+    // ---- For one endpoint
+    private static final class Server {
+        Endpoint is;
+        boolean listed;
+        final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave when they reach the head
+        int flying;
+        double slowness = 1; // smoothed latency over the mean of the category
+        double pressure; // smoothed latency over the target latency
+        double limit = FIRST_LIMIT;
+        long lastCutUs;
+        long lastAnswerUs;
+        int run; // failures in a row
+        double failing; // smoothed share of failures
+        boolean out; // ejected
+        boolean bySilence; // ... with no failure but silence
+        long ejectedUs;
+        long untilUs;
+        long penaltyUs;
+        Push probation;
+        long coldFromUs; // counts as started then; 0 where it is warm
+        long coldAnswers;
+        long slot; // of the cold rule's window, for the two counts
+        int sentNow;
+        int sentBefore;
+
+        Server(Endpoint is) {
+            this.is = is;
+        }
+    }
+
+    private record Task(long dueUs, long order, Push push, Op op) {
+    }
+
+    // ---- For the instance
+    private final Random random;
+    private final String zone;
+    private final int sidecars;
+    private final ColdRule cold;
+    private final PushRule rule;
+    private final long askWithinUs;
+    private final long mostRetryAfterUs;
+    private final double crossing;
+    private final Map<String, Kind> kinds = new HashMap<>();
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
+    private final List<Server> near = new ArrayList<>(); // those of them in our own zone
+    private final List<Server> ejected = new ArrayList<>();
+    private final Map<Long, Op> ops = new HashMap<>();
+    private final ArrayDeque<Op> todo = new ArrayDeque<>();
+    private final TreeSet<Op> waiting = new TreeSet<>((a, b) ->
+            a.rank != b.rank ? Double.compare(b.rank, a.rank) : Long.compare(a.order, b.order));
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) ->
+            a.dueUs != b.dueUs ? Long.compare(a.dueUs, b.dueUs) : Long.compare(a.order, b.order));
+    private final ArrayDeque<Decision> ready = new ArrayDeque<>();
+    private long now;
+    private long order;
+    private long wakeUs = Long.MAX_VALUE;
+    private long listenUs = Long.MAX_VALUE;
+    private int listFailures;
+    private boolean listChanged;
+    private boolean room;
+    private double spare = SPARE_MOST / 2;
+    private long rateSlot;
+    private int answersNow;
+    private int answersBefore;
+
+    public Logic(long seed, String zone, int sidecars, List<Category> categories, List<Tenant> tenants, ColdRule cold,
+            PushRule rule, boolean mustAsk, long askWithinUs, long mostRetryAfterUs, double crossingPrice) {
+        random = new Random(seed);
+        this.zone = zone;
+        this.sidecars = Math.max(1, sidecars);
+        this.cold = cold;
+        this.rule = rule;
+        this.askWithinUs = askWithinUs;
+        this.mostRetryAfterUs = mostRetryAfterUs;
+        crossing = 1 + CROSSING * crossingPrice;
+        for (Category c : categories) {
+            kinds.put(c.name(), new Kind(c));
+        }
+        if (mustAsk) {
+            listenUs = Long.MIN_VALUE;
+        }
+    }
+
+    // ======== Inputs: these only note what is known
+
+    /** News of the list: the whole of it, where what it does not name is gone, or changes alone. */
+    public void list(long nowUs, boolean whole, List<Endpoint> entries) {
+        now = nowUs;
+        listFailures = 0;
+        listChanged = true;
+        if (whole) {
+            servers.values().forEach(s -> s.listed = false);
+        }
+        for (Endpoint e : entries) {
+            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e));
+            if (e.startedUs() > s.is.startedUs() || s.lastAnswerUs == 0 && s.coldFromUs == 0 && e.startedUs() > 0) {
+                if (e.startedUs() > s.is.startedUs()) { // a new process: nothing known of the old one holds
+                    s.slowness = 1;
+                    s.limit = FIRST_LIMIT;
+                    s.pressure = 0;
+                }
+                chill(s, e.startedUs());
+            }
+            s.is = e;
+            s.listed = e.health() == Endpoint.Health.UP;
+        }
+    }
+
+    /** A call to the list failed, or its subscription broke. */
+    public void listFailed(long nowUs) {
+        now = nowUs;
+        // A list that is out of reach for all must not be called by all at once: the wait grows, with jitter, and
+        // stays within the time after which silence would count as being told.
+        long wait = Math.min(askWithinUs / 3, 500_000L << Math.min(listFailures++, 3));
+        listenUs = now + (long) (wait * (0.5 + random.nextDouble()));
+    }
+
+    /** An op has come in. */
+    public void arrive(long nowUs, long id, String tenant, String category, long ttlUs, boolean repeat) {
+        now = nowUs;
+        Kind kind = kinds.get(category);
+        Op op = new Op(id, kind, now, now + ttlUs, order++);
+        op.rank = kind.is.benefit() * (repeat ? 0.5 : 1);
+        ops.put(id, op);
+        todo.add(op);
+    }
+
+    /** A push has ended; {@code over} where the op is over with it or was before. */
+    public void ended(long nowUs, long id, int number, String endpoint, Outcome outcome, long tookUs, boolean over,
+            Load load) {
+        now = nowUs;
+        Op op = ops.get(id);
+        Push push = op == null || number >= op.pushes.size() ? null : op.pushes.get(number);
+        if (push == null || push.end != null) {
+            return;
+        }
+        push.end = outcome;
+        op.out--;
+        Server s = push.to;
+        s.flying--;
+        while (!s.inFlight.isEmpty() && s.inFlight.peekFirst().end != null) {
+            s.inFlight.pollFirst();
+        }
+        room = true;
+        if (outcome == Outcome.ACKED) {
+            acked(push, s, tookUs);
+        } else if (outcome.failure) {
+            if (tookUs > op.kind.meanUs * s.slowness) {
+                learn(s, tookUs / op.kind.meanUs);
+            }
+            failed(push, s, push.silent);
+        } else {
+            if (outcome == Outcome.FULL) {
+                cut(s, tookUs);
+            }
+            if (s.probation == push) {
+                s.probation = null; // it proved nothing: the next op may try
+            }
+        }
+        if (over) {
+            finish(op);
+        } else if (!op.over && op.out == 0) {
+            todo.add(op);
+        }
+        forget(op);
+    }
+
+    /** The answer of a streamed op has begun. */
+    public void streaming(long nowUs, long id, int number) {
+        now = nowUs;
+        Op op = ops.get(id);
+        if (op != null && number < op.pushes.size()) {
+            op.begun = true;
+            Push push = op.pushes.get(number);
+            push.to.lastAnswerUs = now;
+            push.to.run = 0;
+        }
+    }
+
+    /** The client has gone: nothing more is owed. */
+    public void left(long nowUs, long id) {
+        now = nowUs;
+        Op op = ops.get(id);
+        if (op != null && !op.over) {
+            finish(op);
+            forget(op);
+        }
+    }
+
+    /** A wake that was asked for has come. */
+    public void woken(long nowUs) {
+        now = nowUs;
+        if (now >= wakeUs) {
+            wakeUs = Long.MAX_VALUE;
+        }
+    }
+
+    // ---- Bookkeeping of endpoints
+
+    private void acked(Push push, Server s, long tookUs) {
+        Kind kind = push.op.kind;
+        s.lastAnswerUs = now;
+        s.run = 0;
+        s.failing *= 0.9;
+        kind.answered(tookUs);
+        learn(s, tookUs / kind.meanUs);
+        s.pressure += 0.2 * ((double) tookUs / kind.is.targetUs() - s.pressure);
+        if (s.pressure > PRESSED) {
+            cut(s, tookUs);
+        } else if (s.flying + 1 >= 0.75 * s.limit) {
+            s.limit += 0.5 / s.limit;
+        }
+        if (s.coldFromUs > 0) {
+            s.coldAnswers++;
+            if (now - s.coldFromUs > cold.warmUpUs()) {
+                s.coldFromUs = 0;
+            }
+        }
+        long at = now / cold.windowUs();
+        if (at != rateSlot) {
+            answersBefore = at == rateSlot + 1 ? answersNow : 0;
+            answersNow = 0;
+            rateSlot = at;
+        }
+        answersNow++;
+        // An answer ends an ejection where it is the probation's, or where nothing but silence caused it: the
+        // endpoint had paused, and is as sound as before.
+        if (s.out && (s.probation == push || s.bySilence)) {
+            s.out = false;
+            s.failing = SHARE_TO_EJECT / 2;
+            if (s.probation == push) {
+                chill(s, now);
+            }
+            listChanged = true;
+        }
+        if (s.probation == push) {
+            s.probation = null;
+        }
+    }
+
+    private void learn(Server s, double slowness) {
+        s.slowness += SMOOTH * (Math.min(slowness, 20) - s.slowness);
+    }
+
+    /** Lowers the limit, at most once in the time that an answer takes. */
+    private void cut(Server s, long tookUs) {
+        if (now - s.lastCutUs > tookUs) {
+            s.limit = Math.max(1, Math.min(s.limit, s.flying + 1) * 0.8);
+            s.lastCutUs = now;
+        }
+    }
+
+    /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
+    private void failed(Push push, Server s, boolean noted) {
+        boolean silence = push.end == null;
+        if (!noted) {
+            s.run++;
+            s.failing += 0.1 * (1 - s.failing);
+        }
+        if (s.probation == push) {
+            s.probation = null;
+            eject(s, silence && s.bySilence);
+        } else if (!s.out && !noted && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT)) {
+            eject(s, silence);
+        }
+    }
+
+    private void eject(Server s, boolean bySilence) {
+        // The penalty doubles where the endpoint was out a short while ago: one that fails half its ops passes
+        // probation now and then.
+        boolean again = s.penaltyUs > 0 && now < s.untilUs + 2 * s.penaltyUs + FIRST_PENALTY_US;
+        s.penaltyUs = again ? Math.min(LAST_PENALTY_US, 2 * s.penaltyUs) : FIRST_PENALTY_US;
+        s.untilUs = now + (long) (s.penaltyUs * (1 - JITTER + 2 * JITTER * random.nextDouble()));
+        s.ejectedUs = now;
+        s.bySilence = bySilence;
+        s.out = true;
+        listChanged = true;
+    }
+
+    private void chill(Server s, long fromUs) {
+        s.coldFromUs = now - fromUs > cold.warmUpUs() ? 0 : Math.max(1, fromUs);
+        s.coldAnswers = 0;
+    }
+
+    private void finish(Op op) {
+        op.over = true;
+        waiting.remove(op);
+    }
+
+    private void forget(Op op) {
+        if (op.over && op.out == 0) {
+            ops.remove(op.id);
+        }
+    }
+
+    // ======== Decisions
+
+    /** The next thing to do, or null when there is none. */
+    public Decision next() {
+        if (ready.isEmpty()) {
+            decide();
+        }
+        return ready.poll();
+    }
+
+    private void decide() {
+        if (now >= listenUs) {
+            listenUs = Long.MAX_VALUE;
+            ready.add(Decision.listen());
+        }
+        if (listChanged) {
+            sort();
+        }
+        for (Task t; (t = tasks.peek()) != null && t.dueUs <= now;) {
+            tasks.poll();
+            if (t.push != null) {
+                overdue(t.push);
+            } else if (!t.op.over && waiting.remove(t.op)) {
+                giveUp(t.op);
+            }
+        }
+        if (listChanged) {
+            sort();
+        }
+        for (Op op; (op = todo.poll()) != null;) {
+            if (!op.over && op.out == 0) {
+                place(op);
+            }
+        }
+        if (room) {
+            room = false;
+            while (!waiting.isEmpty()) {
+                Op op = waiting.first();
+                if (!push(op, pick(op), false)) {
+                    break;
+                }
+                waiting.remove(op);
+            }
+        }
+        long due = Math.min(listenUs, tasks.isEmpty() ? Long.MAX_VALUE : tasks.peek().dueUs);
+        if (due < wakeUs) {
+            wakeUs = due;
+            ready.add(Decision.wake(Math.max(0, due - now)));
+        }
+    }
+
+    private void sort() {
+        listChanged = false;
+        in.clear();
+        near.clear();
+        ejected.clear();
+        for (Server s : servers.values()) {
+            if (s.listed) {
+                (s.out ? ejected : in).add(s);
+            }
+        }
+        if (in.isEmpty()) {
+            in.addAll(ejected); // the design: with every endpoint ejected, pick as if none were
+        }
+        for (Server s : in) {
+            if (s.is.zone().equals(zone)) {
+                near.add(s);
+            }
+        }
+        room = true;
+    }
+
+    private void place(Op op) {
+        boolean first = op.pushes.isEmpty();
+        if (first && onProbation(op)) {
+            return;
+        }
+        if (!first && !afford(op)) {
+            giveUp(op);
+        } else if (!push(op, pick(op), false)) {
+            long until = op.bornUs + (long) (WAIT_SHARE * op.kind.is.targetUs());
+            if (first && !in.isEmpty() && until > now && until < op.endUs) {
+                waiting.add(op);
+                tasks.add(new Task(until, order++, null, op));
+            } else {
+                giveUp(op);
+            }
+        }
+    }
+
+    /** Further pushes come out of a budget, so that retries never feed an overload. */
+    private boolean afford(Op op) {
+        Push last = op.pushes.get(op.pushes.size() - 1);
+        double price = last.end == Outcome.CONNECT_FAILED || last.end == Outcome.MOOT ? 0 : 1;
+        if (spare < price) {
+            return false;
+        }
+        spare -= price;
+        return true;
+    }
+
+    /** Probation takes an op that can go elsewhere should it fail, one at a time for an endpoint. */
+    private boolean onProbation(Op op) {
+        for (Server s : ejected) {
+            if (s.out && s.probation == null && now >= s.untilUs
+                    && (op.kind.is.effect() == Effect.REDELIVERABLE || now > s.untilUs + s.penaltyUs)
+                    && push(op, s, true)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
+    private void giveUp(Op op) {
+        boolean mayNack = op.kind.is.effect() == Effect.REDELIVERABLE || op.pushes.stream().noneMatch(Push::risky)
+                || op.kind.is.effect() == Effect.DEDUPLICATED && op.kind.is.group() == dillcross.model.Group.ALL;
+        if (mayNack) {
+            long wait = (long) (op.kind.is.targetUs() * (0.25 + 0.25 * random.nextDouble()));
+            ready.add(Decision.nack(op.id, Math.min(mostRetryAfterUs, wait)));
+        } else {
+            ready.add(Decision.deadLetter(op.id));
+        }
+        finish(op);
+        forget(op);
+    }
+
+    // ---- The pick
+
+    private Server pick(Op op) {
+        if (op.pushes.stream().anyMatch(Push::risky) && op.kind.is.effect() != Effect.REDELIVERABLE) {
+            return least(op); // few endpoints may take it: draws would miss them
+        }
+        Server here = near.isEmpty() ? null : better(op, draw(op, near), draw(op, near));
+        Server best = here;
+        if (near.size() < in.size()) {
+            best = better(op, here, better(op, draw(op, in), draw(op, in)));
+        }
+        return best != null ? best : least(op);
+    }
+
+    private Server draw(Op op, List<Server> from) {
+        Server s = from.get(random.nextInt(from.size()));
+        return usable(op, s) ? s : null;
+    }
+
+    private Server better(Op op, Server a, Server b) {
+        return a == null ? b : b == null || cost(a) <= cost(b) ? a : b;
+    }
+
+    private Server least(Op op) {
+        Server best = null;
+        for (Server s : in) {
+            if (usable(op, s)) {
+                best = better(op, best, s);
+            }
+        }
+        return best;
+    }
+
+    private boolean usable(Op op, Server s) {
+        if (s.flying >= s.limit || !lawful(op, s)) {
+            return false;
+        }
+        for (int i = 0; i < op.pushes.size(); i++) {
+            if (op.pushes.get(i).to == s) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** The design's smoothed latency x (own in flight + 1), with a price on leaving our zone. */
+    private double cost(Server s) {
+        double slow = s.slowness;
+        if (slow > 1) { // an endpoint that lost every draw is tried again in time
+            slow = 1 + (slow - 1) * Math.max(0, 1 - (double) (now - s.lastAnswerUs) / FORGET_US);
+        }
+        Push oldest = s.inFlight.peekFirst();
+        if (oldest != null) { // silence: an old push says more than answers from before it
+            slow = Math.max(slow, (now - oldest.sentUs) / oldest.op.kind.meanUs);
+        }
+        return slow * (s.flying + 1) * (s.is.zone().equals(zone) ? 1 : crossing);
+    }
+
+    // ---- The one way out: every push passes here, and with it every rule
+
+    private boolean push(Op op, Server s, boolean probation) {
+        if (s == null || !lawful(op, s)) {
+            return false;
+        }
+        Push push = new Push(op, op.pushes.size(), s, now, probation);
+        op.pushes.add(push);
+        op.out++;
+        s.flying++;
+        s.inFlight.addLast(push);
+        if (probation) {
+            s.probation = push;
+        }
+        if (s.coldFromUs > 0) {
+            turn(s);
+            s.sentNow++;
+        }
+        if (push.number == 0) {
+            spare = Math.min(SPARE_MOST, spare + SPARE_SHARE);
+        }
+        long overdueUs = now + overdueAfter(push);
+        tasks.add(new Task(overdueUs, order++, push, null));
+        ready.add(Decision.push(op.id, s.is.id(), 0));
+        return true;
+    }
+
+    private long overdueAfter(Push push) {
+        return (long) (OVERDUE * push.op.kind.meanUs * Math.max(1, Math.min(4, push.to.slowness)));
+    }
+
+    private boolean lawful(Op op, Server s) {
+        // One final answer, within the TTL and the push limit.
+        if (op.over || op.begun || now >= op.endUs || op.pushes.size() >= rule.most()) {
+            return false;
+        }
+        // Drains: nothing goes to an endpoint that we have been told is draining or gone.
+        return s.listed && (op.out == 0 || rule.copies()) && repeatable(op, s) && coldRoom(s);
+    }
+
+    /** No effect twice. */
+    private boolean repeatable(Op op, Server s) {
+        Category c = op.kind.is;
+        if (c.effect() == Effect.REDELIVERABLE) {
+            return true;
+        }
+        for (int i = 0; i < op.pushes.size(); i++) {
+            Push p = op.pushes.get(i);
+            if (p.risky()) {
+                boolean known = switch (c.group()) {
+                    case ALL -> true;
+                    case ZONE -> p.to.is.zone().equals(s.is.zone());
+                    case CELL -> p.to.is.cell() == s.is.cell();
+                };
+                if (c.effect() == Effect.AT_MOST_ONCE || !known || now - p.sentUs > c.windowUs() * 0.9) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /** Our part of what a cold endpoint may be sent within a window; one op at a time until it answers. */
+    private boolean coldRoom(Server s) {
+        if (s.coldFromUs == 0) {
+            return true;
+        }
+        double grown = Math.min(1, Math.max(0, (double) (now - s.coldFromUs) / cold.warmUpUs()));
+        if (grown >= 1) {
+            s.coldFromUs = 0;
+            return true;
+        }
+        turn(s);
+        double share = cold.startShare() + (1 - cold.startShare()) * grown;
+        double usual = (double) Math.max(answersBefore, answersNow) / Math.max(1, in.size());
+        double budget = Math.max(1, COLD_PART * cold.multiple() * share * usual);
+        return s.flying < 1 + s.coldAnswers && s.sentNow + s.sentBefore < budget;
+    }
+
+    private void turn(Server s) {
+        long at = now / cold.windowUs();
+        if (at != s.slot) {
+            s.sentBefore = at == s.slot + 1 ? s.sentNow : 0;
+            s.sentNow = 0;
+            s.slot = at;
+        }
+    }
+
+    /** A push has gone unanswered for far longer than its kind takes: silence is evidence, and a copy may help. */
+    private void overdue(Push push) {
+        Op op = push.op;
+        if (push.end != null || op.begun) {
+            return;
+        }
+        if (!push.silent && push.to.lastAnswerUs < push.sentUs) {
+            failed(push, push.to, false);
+            push.silent = true;
+        }
+        if (!op.over && op.out == 1 && rule.copies() && spare >= 1 && push(op, pick(op), false)) {
+            spare--;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/cli/Main.java
@@ -0,0 +1,61 @@
+package dillcross.cli;
+
+import dillcross.simhost.Host;
+import dillcross.simhost.WireException;
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Properties;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+
+/** The command line of dillcross. */
+@Command(name = "dillcross", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+        description = "Client-side load balancer that runs as a sidecar beside each calling process.")
+public final class Main implements Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "Missing command");
+    }
+
+    @Command(name = "simhost", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Host many instances of the decision module on the simulator's wire (stdin, stdout).")
+    int simhost() throws IOException {
+        try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
+            new Host(System.in, out).run();
+            return 0;
+        } catch (WireException malformed) {
+            log().error(malformed.getMessage());
+            return 3;
+        }
+    }
+
+    /** Made only when there is something to say: starting the logger costs CPU that a run is billed for. */
+    private static Logger log() {
+        return LoggerFactory.getLogger(Main.class);
+    }
+
+    /** Reads the version that the build wrote. */
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() throws IOException {
+            Properties built = new Properties();
+            try (InputStream in = Main.class.getResourceAsStream("/dillcross.properties")) {
+                built.load(in);
+            }
+            return new String[] {"dillcross " + built.getProperty("version")};
+        }
+    }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+}
