--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -124,9 +124,9 @@
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave when they reach the head
         int flying;
         double slowness = 1; // smoothed latency over the mean of the category
-        double pressure; // smoothed latency over the target latency
-        double limit = FIRST_LIMIT;
-        long lastCutUs;
+        Limit limit = new Limit(FIRST_LIMIT);
+        long holdUs; // it said full: nothing goes there until then
+        int fulls; // in a row
         long lastAnswerUs;
         int run; // failures in a row
         double failing; // smoothed share of failures
@@ -147,6 +147,34 @@
         }
     }
 
+    /** How much may be in flight, learned from answers: it grows while in use, and shrinks while they come late. */
+    private static final class Limit {
+        double most;
+        double pressure; // smoothed latency over the target latency
+        long cutUs;
+
+        Limit(double most) {
+            this.most = most;
+        }
+
+        void learn(double ratio, int flying, long now, long tookUs) {
+            pressure += 0.15 * (Math.min(ratio, 2) - pressure);
+            if (pressure > PRESSED) {
+                cut(flying, now, tookUs);
+            } else if (flying + 1 >= 0.75 * most) {
+                most += 0.5 / most;
+            }
+        }
+
+        /** At most once in the time that an answer takes. */
+        void cut(int flying, long now, long tookUs) {
+            if (now - cutUs > tookUs) {
+                most = Math.max(1, Math.min(most, flying + 1) * 0.8);
+                cutUs = now;
+            }
+        }
+    }
+
     private record Task(long dueUs, long order, Push push, Op op) {
     }
 
@@ -179,6 +207,8 @@
     private boolean listChanged;
     private boolean room;
     private double spare = SPARE_MOST / 2;
+    private final Limit all = new Limit(64); // over all endpoints: with many sidecars, one each is too much
+    private int flying;
     private long rateSlot;
     private int answersNow;
     private int answersBefore;
@@ -216,8 +246,7 @@
             if (e.startedUs() > s.is.startedUs() || s.lastAnswerUs == 0 && s.coldFromUs == 0 && e.startedUs() > 0) {
                 if (e.startedUs() > s.is.startedUs()) { // a new process: nothing known of the old one holds
                     s.slowness = 1;
-                    s.limit = FIRST_LIMIT;
-                    s.pressure = 0;
+                    s.limit = new Limit(FIRST_LIMIT);
                 }
                 chill(s, e.startedUs());
             }
@@ -258,6 +287,7 @@
         op.out--;
         Server s = push.to;
         s.flying--;
+        flying--;
         while (!s.inFlight.isEmpty() && s.inFlight.peekFirst().end != null) {
             s.inFlight.pollFirst();
         }
@@ -268,10 +298,14 @@
             if (tookUs > op.kind.meanUs * s.slowness) {
                 learn(s, tookUs / op.kind.meanUs);
             }
+            pressed(push, tookUs);
             failed(push, s, push.silent);
         } else {
             if (outcome == Outcome.FULL) {
-                cut(s, tookUs);
+                // Full, yet we thought there was room: others push here too. Stay away for a while, longer each time.
+                s.limit.cut(s.flying, now, 0);
+                all.cut(flying, now, (long) op.kind.meanUs);
+                s.holdUs = now + (long) (op.kind.meanUs * (0.5 + random.nextDouble()) * (1 << Math.min(s.fulls++, 4)));
             }
             if (s.probation == push) {
                 s.probation = null; // it proved nothing: the next op may try
@@ -324,12 +358,8 @@
         s.failing *= 0.9;
         kind.answered(tookUs);
         learn(s, tookUs / kind.meanUs);
-        s.pressure += 0.2 * ((double) tookUs / kind.is.targetUs() - s.pressure);
-        if (s.pressure > PRESSED) {
-            cut(s, tookUs);
-        } else if (s.flying + 1 >= 0.75 * s.limit) {
-            s.limit += 0.5 / s.limit;
-        }
+        s.fulls = 0;
+        pressed(push, tookUs);
         if (s.coldFromUs > 0) {
             s.coldAnswers++;
             if (now - s.coldFromUs > cold.warmUpUs()) {
@@ -362,12 +392,10 @@
         s.slowness += SMOOTH * (Math.min(slowness, 20) - s.slowness);
     }
 
-    /** Lowers the limit, at most once in the time that an answer takes. */
-    private void cut(Server s, long tookUs) {
-        if (now - s.lastCutUs > tookUs) {
-            s.limit = Math.max(1, Math.min(s.limit, s.flying + 1) * 0.8);
-            s.lastCutUs = now;
-        }
+    private void pressed(Push push, long tookUs) {
+        double ratio = (double) tookUs / push.op.kind.is.targetUs();
+        push.to.limit.learn(ratio, push.to.flying, now, tookUs);
+        all.learn(ratio, flying, now, tookUs);
     }
 
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
@@ -449,7 +477,7 @@
         }
         if (room) {
             room = false;
-            while (!waiting.isEmpty()) {
+            while (!waiting.isEmpty() && flying < all.most) {
                 Op op = waiting.first();
                 if (!push(op, pick(op), false)) {
                     break;
@@ -492,9 +520,9 @@
         }
         if (!first && !afford(op)) {
             giveUp(op);
-        } else if (!push(op, pick(op), false)) {
+        } else if (flying >= all.most || !push(op, pick(op), false)) {
             long until = op.bornUs + (long) (WAIT_SHARE * op.kind.is.targetUs());
-            if (first && !in.isEmpty() && until > now && until < op.endUs) {
+            if (op.pushes.stream().noneMatch(Push::risky) && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
                 tasks.add(new Task(until, order++, null, op));
             } else {
@@ -574,7 +602,7 @@
     }
 
     private boolean usable(Op op, Server s) {
-        if (s.flying >= s.limit || !lawful(op, s)) {
+        if (s.flying >= s.limit.most || now < s.holdUs || !lawful(op, s)) {
             return false;
         }
         for (int i = 0; i < op.pushes.size(); i++) {
@@ -608,6 +636,7 @@
         op.pushes.add(push);
         op.out++;
         s.flying++;
+        flying++;
         s.inFlight.addLast(push);
         if (probation) {
             s.probation = push;
@@ -692,11 +721,12 @@
         if (push.end != null || op.begun) {
             return;
         }
+        pressed(push, now - push.sentUs);
         if (!push.silent && push.to.lastAnswerUs < push.sentUs) {
             failed(push, push.to, false);
             push.silent = true;
         }
-        if (!op.over && op.out == 1 && rule.copies() && spare >= 1 && push(op, pick(op), false)) {
+        if (!op.over && op.out == 1 && rule.copies() && spare >= 1 && flying < all.most && push(op, pick(op), false)) {
             spare--;
         }
     }
