--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -48,7 +48,7 @@
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 8; // in flight at an endpoint, before anything is learned
-    private static final double PRESSED = 0.6; // latency over target latency at which the limit stops growing
+    private static final double PRESSED = 0.5; // part of the time up to the target latency at which the limit stops growing
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
@@ -104,6 +104,7 @@
     private static final class Kind {
         final Category is;
         double meanUs; // smoothed latency of its answers
+        double calmUs; // the least that the mean was, slowly rising: what it takes without a queue
         int answers;
 
         Kind(Category is) {
@@ -114,6 +115,13 @@
         void answered(double us) {
             answers++;
             meanUs += (us - meanUs) * Math.max(0.02, 1.0 / answers);
+            calmUs = answers < 20 || meanUs < calmUs ? meanUs : calmUs + 0.0005 * (meanUs - calmUs);
+        }
+
+        /** How much of the time between an unhurried answer and the target latency an answer took. */
+        double pressure(double us) {
+            double calm = Math.min(calmUs, 0.5 * is.targetUs());
+            return (us - calm) / (is.targetUs() - calm);
         }
     }
 
@@ -150,7 +158,7 @@
     /** How much may be in flight, learned from answers: it grows while in use, and shrinks while they come late. */
     private static final class Limit {
         double most;
-        double pressure; // smoothed latency over the target latency
+        double pressure; // smoothed, see Kind
         long cutUs;
 
         Limit(double most) {
@@ -158,7 +166,7 @@
         }
 
         void learn(double ratio, int flying, long now, long tookUs) {
-            pressure += 0.15 * (Math.min(ratio, 2) - pressure);
+            pressure += 0.15 * (Math.max(-1, Math.min(ratio, 2)) - pressure);
             if (pressure > PRESSED) {
                 cut(flying, now, tookUs);
             } else if (flying + 1 >= 0.75 * most) {
@@ -207,7 +215,7 @@
     private boolean listChanged;
     private boolean room;
     private double spare = SPARE_MOST / 2;
-    private final Limit all = new Limit(64); // over all endpoints: with many sidecars, one each is too much
+    private final Limit all = new Limit(0); // over all endpoints: with many sidecars, one each is too much
     private int flying;
     private long rateSlot;
     private int answersNow;
@@ -393,7 +401,7 @@
     }
 
     private void pressed(Push push, long tookUs) {
-        double ratio = (double) tookUs / push.op.kind.is.targetUs();
+        double ratio = push.op.kind.pressure(tookUs);
         push.to.limit.learn(ratio, push.to.flying, now, tookUs);
         all.learn(ratio, flying, now, tookUs);
     }
@@ -510,6 +518,9 @@
                 near.add(s);
             }
         }
+        if (all.most == 0) {
+            all.most = FIRST_LIMIT * in.size();
+        }
         room = true;
     }
 
