--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -48,7 +48,7 @@
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 8; // in flight at an endpoint, before anything is learned
-    private static final double PRESSED = 0.5; // part of the time up to the target latency at which the limit stops growing
+    private static final double PRESSED = 1; // smoothed pressure at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
@@ -118,10 +118,10 @@
             calmUs = answers < 20 || meanUs < calmUs ? meanUs : calmUs + 0.0005 * (meanUs - calmUs);
         }
 
-        /** How much of the time between an unhurried answer and the target latency an answer took. */
+        /** How far an answer ran into its slack: 1 at half of it, or at twice an unhurried answer if that is more. */
         double pressure(double us) {
             double calm = Math.min(calmUs, 0.5 * is.targetUs());
-            return (us - calm) / (is.targetUs() - calm);
+            return (us - calm) / Math.max(calm, 0.5 * (is.targetUs() - calm));
         }
     }
 
@@ -166,7 +166,7 @@
         }
 
         void learn(double ratio, int flying, long now, long tookUs) {
-            pressure += 0.15 * (Math.max(-1, Math.min(ratio, 2)) - pressure);
+            pressure += 0.15 * (Math.max(-2, Math.min(ratio, 4)) - pressure);
             if (pressure > PRESSED) {
                 cut(flying, now, tookUs);
             } else if (flying + 1 >= 0.75 * most) {
