--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -132,7 +132,7 @@
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave when they reach the head
         int flying;
         double slowness = 1; // smoothed latency over the mean of the category
-        Limit limit = new Limit(FIRST_LIMIT);
+        Limit limit = new Limit(FIRST_LIMIT, SMOOTH);
         long holdUs; // it said full: nothing goes there until then
         int fulls; // in a row
         long lastAnswerUs;
@@ -158,15 +158,17 @@
     /** How much may be in flight, learned from answers: it grows while in use, and shrinks while they come late. */
     private static final class Limit {
         double most;
+        final double smooth;
         double pressure; // smoothed, see Kind
         long cutUs;
 
-        Limit(double most) {
+        Limit(double most, double smooth) {
             this.most = most;
+            this.smooth = smooth;
         }
 
         void learn(double ratio, int flying, long now, long tookUs) {
-            pressure += 0.15 * (Math.max(-2, Math.min(ratio, 4)) - pressure);
+            pressure += smooth * (Math.max(-2, Math.min(ratio, 4)) - pressure);
             if (pressure > PRESSED) {
                 cut(flying, now, tookUs);
             } else if (flying + 1 >= 0.75 * most) {
@@ -215,7 +217,7 @@
     private boolean listChanged;
     private boolean room;
     private double spare = SPARE_MOST / 2;
-    private final Limit all = new Limit(0); // over all endpoints: with many sidecars, one each is too much
+    private final Limit all = new Limit(0, SMOOTH / 4); // over all endpoints: with many sidecars, one each is too much
     private int flying;
     private long rateSlot;
     private int answersNow;
@@ -254,7 +256,7 @@
             if (e.startedUs() > s.is.startedUs() || s.lastAnswerUs == 0 && s.coldFromUs == 0 && e.startedUs() > 0) {
                 if (e.startedUs() > s.is.startedUs()) { // a new process: nothing known of the old one holds
                     s.slowness = 1;
-                    s.limit = new Limit(FIRST_LIMIT);
+                    s.limit = new Limit(FIRST_LIMIT, SMOOTH);
                 }
                 chill(s, e.startedUs());
             }
@@ -402,8 +404,8 @@
 
     private void pressed(Push push, long tookUs) {
         double ratio = push.op.kind.pressure(tookUs);
-        push.to.limit.learn(ratio, push.to.flying, now, tookUs);
-        all.learn(ratio, flying, now, tookUs);
+        push.to.limit.learn(ratio, push.to.flying, now, (long) push.op.kind.meanUs);
+        all.learn(ratio, flying, now, (long) push.op.kind.meanUs);
     }
 
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
