--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -121,7 +121,7 @@
         /** How far an answer ran into its slack: 1 at half of it, or at twice an unhurried answer if that is more. */
         double pressure(double us) {
             double calm = Math.min(calmUs, 0.5 * is.targetUs());
-            return (us - calm) / Math.max(calm, 0.5 * (is.targetUs() - calm));
+            return (us - calm) / Math.max(calm, 0.35 * (is.targetUs() - calm));
         }
     }
 
@@ -132,7 +132,7 @@
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave when they reach the head
         int flying;
         double slowness = 1; // smoothed latency over the mean of the category
-        Limit limit = new Limit(FIRST_LIMIT, SMOOTH);
+        Limit limit = new Limit(FIRST_LIMIT);
         long holdUs; // it said full: nothing goes there until then
         int fulls; // in a row
         long lastAnswerUs;
@@ -158,17 +158,15 @@
     /** How much may be in flight, learned from answers: it grows while in use, and shrinks while they come late. */
     private static final class Limit {
         double most;
-        final double smooth;
         double pressure; // smoothed, see Kind
         long cutUs;
 
-        Limit(double most, double smooth) {
+        Limit(double most) {
             this.most = most;
-            this.smooth = smooth;
         }
 
         void learn(double ratio, int flying, long now, long tookUs) {
-            pressure += smooth * (Math.max(-2, Math.min(ratio, 4)) - pressure);
+            pressure += 1.0 / (4 + flying) * (Math.max(-2, Math.min(ratio, 4)) - pressure);
             if (pressure > PRESSED) {
                 cut(flying, now, tookUs);
             } else if (flying + 1 >= 0.75 * most) {
@@ -217,7 +215,7 @@
     private boolean listChanged;
     private boolean room;
     private double spare = SPARE_MOST / 2;
-    private final Limit all = new Limit(0, SMOOTH / 4); // over all endpoints: with many sidecars, one each is too much
+    private final Limit all = new Limit(0); // over all endpoints: with many sidecars, one each is too much
     private int flying;
     private long rateSlot;
     private int answersNow;
@@ -256,7 +254,7 @@
             if (e.startedUs() > s.is.startedUs() || s.lastAnswerUs == 0 && s.coldFromUs == 0 && e.startedUs() > 0) {
                 if (e.startedUs() > s.is.startedUs()) { // a new process: nothing known of the old one holds
                     s.slowness = 1;
-                    s.limit = new Limit(FIRST_LIMIT, SMOOTH);
+                    s.limit = new Limit(FIRST_LIMIT);
                 }
                 chill(s, e.startedUs());
             }
