--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -48,7 +48,7 @@
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 8; // in flight at an endpoint, before anything is learned
-    private static final double PRESSED = 1; // smoothed pressure at which a limit stops growing and shrinks
+    private static final double PRESSED = 1.2; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
@@ -115,13 +115,12 @@
         void answered(double us) {
             answers++;
             meanUs += (us - meanUs) * Math.max(0.02, 1.0 / answers);
-            calmUs = answers < 20 || meanUs < calmUs ? meanUs : calmUs + 0.0005 * (meanUs - calmUs);
+            calmUs = answers < 20 || meanUs < calmUs ? meanUs : calmUs + 0.0001 * (meanUs - calmUs);
         }
 
-        /** How far an answer ran into its slack: 1 at half of it, or at twice an unhurried answer if that is more. */
+        /** How many calm answers long the queue seems, from what an answer took. */
         double pressure(double us) {
-            double calm = Math.min(calmUs, 0.5 * is.targetUs());
-            return (us - calm) / Math.max(calm, 0.35 * (is.targetUs() - calm));
+            return us / Math.min(calmUs, 0.5 * is.targetUs()) - 1;
         }
     }
 
@@ -170,7 +169,7 @@
             if (pressure > PRESSED) {
                 cut(flying, now, tookUs);
             } else if (flying + 1 >= 0.75 * most) {
-                most += 0.5 / most;
+                most += 1 / most;
             }
         }
 
