--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -47,7 +47,7 @@
     private static final long FORGET_US = 10_000_000; // a slow endpoint without answers is tried again after this
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
-    private static final double FIRST_LIMIT = 8; // in flight at an endpoint, before anything is learned
+    private static final double FIRST_LIMIT = 8; // in flight at an endpoint, by all sidecars, before anything is learned
     private static final double PRESSED = 1.2; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
@@ -131,7 +131,7 @@
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave when they reach the head
         int flying;
         double slowness = 1; // smoothed latency over the mean of the category
-        Limit limit = new Limit(FIRST_LIMIT);
+        Limit limit;
         long holdUs; // it said full: nothing goes there until then
         int fulls; // in a row
         long lastAnswerUs;
@@ -149,8 +149,9 @@
         int sentNow;
         int sentBefore;
 
-        Server(Endpoint is) {
+        Server(Endpoint is, double limit) {
             this.is = is;
+            this.limit = new Limit(limit);
         }
     }
 
@@ -169,7 +170,8 @@
             if (pressure > PRESSED) {
                 cut(flying, now, tookUs);
             } else if (flying + 1 >= 0.75 * most) {
-                most += 1 / most;
+                // From the start it doubles a round, until the first sign of a queue.
+                most += cutUs == 0 && pressure < PRESSED / 2 ? 1 : 1 / most;
             }
         }
 
@@ -194,6 +196,7 @@
     private final long askWithinUs;
     private final long mostRetryAfterUs;
     private final double crossing;
+    private final double firstLimit;
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
@@ -225,6 +228,7 @@
         random = new Random(seed);
         this.zone = zone;
         this.sidecars = Math.max(1, sidecars);
+        firstLimit = Math.max(1, FIRST_LIMIT / this.sidecars);
         this.cold = cold;
         this.rule = rule;
         this.askWithinUs = askWithinUs;
@@ -249,11 +253,11 @@
             servers.values().forEach(s -> s.listed = false);
         }
         for (Endpoint e : entries) {
-            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e));
+            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, firstLimit));
             if (e.startedUs() > s.is.startedUs() || s.lastAnswerUs == 0 && s.coldFromUs == 0 && e.startedUs() > 0) {
                 if (e.startedUs() > s.is.startedUs()) { // a new process: nothing known of the old one holds
                     s.slowness = 1;
-                    s.limit = new Limit(FIRST_LIMIT);
+                    s.limit = new Limit(firstLimit);
                 }
                 chill(s, e.startedUs());
             }
@@ -518,7 +522,7 @@
             }
         }
         if (all.most == 0) {
-            all.most = FIRST_LIMIT * in.size();
+            all.most = firstLimit * in.size();
         }
         room = true;
     }
