--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -48,7 +48,7 @@
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 8; // in flight at an endpoint, by all sidecars, before anything is learned
-    private static final double PRESSED = 1.2; // queue, in calm answers, at which a limit stops growing and shrinks
+    private static final double PRESSED = 1; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
@@ -178,7 +178,7 @@
         /** At most once in the time that an answer takes. */
         void cut(int flying, long now, long tookUs) {
             if (now - cutUs > tookUs) {
-                most = Math.max(1, Math.min(most, flying + 1) * 0.8);
+                most = Math.max(1, Math.min(most, flying + 1) * Math.max(0.5, Math.min(0.9, (1 + PRESSED) / (1.1 + pressure))));
                 cutUs = now;
             }
         }
