--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -47,7 +47,7 @@
     private static final long FORGET_US = 10_000_000; // a slow endpoint without answers is tried again after this
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
-    private static final double FIRST_LIMIT = 8; // in flight at an endpoint, by all sidecars, before anything is learned
+    private static final double FIRST_LIMIT = 3; // in flight at an endpoint, by all sidecars, before anything is learned
     private static final double PRESSED = 1; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
