--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -170,8 +170,8 @@
             if (pressure > PRESSED) {
                 cut(flying, now, tookUs);
             } else if (flying + 1 >= 0.75 * most) {
-                // From the start it doubles a round, until the first sign of a queue.
-                most += cutUs == 0 && pressure < PRESSED / 2 ? 1 : 1 / most;
+                // From the start it grows by a quarter a round, until the first sign of a queue.
+                most += cutUs == 0 && pressure < PRESSED / 2 ? 0.25 : Math.max(0.05, 1 / most);
             }
         }
 
@@ -405,8 +405,8 @@
 
     private void pressed(Push push, long tookUs) {
         double ratio = push.op.kind.pressure(tookUs);
-        push.to.limit.learn(ratio, push.to.flying, now, (long) push.op.kind.meanUs);
-        all.learn(ratio, flying, now, (long) push.op.kind.meanUs);
+        push.to.limit.learn(ratio, push.to.flying, now, (long) push.op.kind.calmUs);
+        all.learn(ratio, flying, now, (long) push.op.kind.calmUs);
     }
 
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
