--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -48,7 +48,8 @@
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint, by all sidecars, before anything is learned
-    private static final double PRESSED = 0.6; // queue, in calm answers, at which a limit stops growing and shrinks
+    private static final double QUEUE = 2; // times what is in flight without a queue, over all endpoints
+    private static final double PRESSED = 1; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
@@ -114,8 +115,8 @@
 
         void answered(double us) {
             answers++;
-            meanUs += (us - meanUs) * Math.max(0.02, 1.0 / answers);
-            calmUs = answers < 20 || meanUs < calmUs ? meanUs : calmUs + 0.0001 * (meanUs - calmUs);
+            meanUs += (us - meanUs) * Math.max(0.05, 1.0 / answers);
+            calmUs = answers < 10 || meanUs < calmUs ? meanUs : calmUs + 0.0001 * (meanUs - calmUs);
         }
 
         /** How many calm answers long the queue seems, from what an answer took. */
@@ -197,6 +198,7 @@
     private final long mostRetryAfterUs;
     private final double crossing;
     private final double firstLimit;
+    private final long slotUs; // the mean target latency
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
@@ -217,8 +219,10 @@
     private boolean listChanged;
     private boolean room;
     private double spare = SPARE_MOST / 2;
-    private final Limit all = new Limit(0); // over all endpoints: with many sidecars, one each is too much
     private int flying;
+    private long flowSlotUs; // start of the present count
+    private double flowNow; // calm time of the answers since then
+    private double flowBefore; // and in the slot before
     private long rateSlot;
     private int answersNow;
     private int answersBefore;
@@ -234,6 +238,7 @@
         this.askWithinUs = askWithinUs;
         this.mostRetryAfterUs = mostRetryAfterUs;
         crossing = 1 + CROSSING * crossingPrice;
+        slotUs = (long) categories.stream().mapToLong(Category::targetUs).average().orElse(1_000_000);
         for (Category c : categories) {
             kinds.put(c.name(), new Kind(c));
         }
@@ -315,7 +320,6 @@
             if (outcome == Outcome.FULL) {
                 // Full, yet we thought there was room: others push here too. Stay away for a while, longer each time.
                 s.limit.cut(s.flying, now, 0);
-                all.cut(flying, now, (long) op.kind.meanUs);
                 s.holdUs = now + (long) (op.kind.meanUs * (0.5 + random.nextDouble()) * (1 << Math.min(s.fulls++, 4)));
             }
             if (s.probation == push) {
@@ -370,6 +374,7 @@
         kind.answered(tookUs);
         learn(s, tookUs / kind.meanUs);
         s.fulls = 0;
+        flowNow += kind.calmUs;
         pressed(push, tookUs);
         if (s.coldFromUs > 0) {
             s.coldAnswers++;
@@ -406,7 +411,6 @@
     private void pressed(Push push, long tookUs) {
         double ratio = push.op.kind.pressure(tookUs);
         push.to.limit.learn(ratio, push.to.flying, now, (long) push.op.kind.calmUs);
-        all.learn(ratio, flying, now, (long) push.op.kind.calmUs);
     }
 
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
@@ -488,7 +492,7 @@
         }
         if (room) {
             room = false;
-            while (!waiting.isEmpty() && flying < all.most) {
+            while (!waiting.isEmpty() && flying < most()) {
                 Op op = waiting.first();
                 if (!push(op, pick(op), false)) {
                     break;
@@ -521,12 +525,24 @@
                 near.add(s);
             }
         }
-        if (all.most == 0) {
-            all.most = firstLimit * in.size();
-        }
         room = true;
     }
 
+    /**
+     * How much may be in flight over all endpoints. By Little's law the answers of a second times their calm latency
+     * is what would be in flight without a queue; a multiple of it bounds the queue. Where answers slow down the
+     * bound falls with them, round by round, until overdriven endpoints can rest; where they are calm it doubles.
+     */
+    private double most() {
+        if (now - flowSlotUs >= slotUs) {
+            flowBefore = now - flowSlotUs < 2 * slotUs ? flowNow : 0;
+            flowNow = 0;
+            flowSlotUs = now;
+        }
+        double calm = (flowBefore + flowNow) / (slotUs + now - flowSlotUs);
+        return Math.max(firstLimit * in.size() * 0.5, QUEUE * calm + 2 * Math.sqrt(calm) + 1);
+    }
+
     private void place(Op op) {
         boolean first = op.pushes.isEmpty();
         if (first && onProbation(op)) {
@@ -534,7 +550,7 @@
         }
         if (!first && !afford(op)) {
             giveUp(op);
-        } else if (flying >= all.most || !push(op, pick(op), false)) {
+        } else if (flying >= most() || !push(op, pick(op), false)) {
             long until = op.bornUs + (long) (WAIT_SHARE * op.kind.is.targetUs());
             if (op.pushes.stream().noneMatch(Push::risky) && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
@@ -740,7 +756,7 @@
             failed(push, push.to, false);
             push.silent = true;
         }
-        if (!op.over && op.out == 1 && rule.copies() && spare >= 1 && flying < all.most && push(op, pick(op), false)) {
+        if (!op.over && op.out == 1 && rule.copies() && spare >= 1 && flying < most() && push(op, pick(op), false)) {
             spare--;
         }
     }
