--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -540,7 +540,7 @@
             flowSlotUs = now;
         }
         double calm = (flowBefore + flowNow) / (slotUs + now - flowSlotUs);
-        return Math.max(firstLimit * in.size() * 0.5, QUEUE * calm + 2 * Math.sqrt(calm) + 1);
+        return Math.max(flowBefore == 0 ? firstLimit * in.size() : 1, QUEUE * calm + Math.sqrt(calm) + 1);
     }
 
     private void place(Op op) {
