--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -48,7 +48,7 @@
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint, by all sidecars, before anything is learned
-    private static final double QUEUE = 2; // times what is in flight without a queue, over all endpoints
+    private static final double QUEUE = 1.5; // times what is in flight without a queue, over all endpoints
     private static final double PRESSED = 1; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
