--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -48,6 +48,7 @@
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint, by all sidecars, before anything is learned
+    private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double QUEUE = 1.5; // times what is in flight without a queue, over all endpoints
     private static final double PRESSED = 1; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
@@ -185,6 +186,16 @@
         }
     }
 
+    /** A tenant's part of what comes in here, against its part of the quotas. */
+    private static final class Party {
+        final double part;
+        double came; // arrivals, fading
+
+        Party(double part) {
+            this.part = part;
+        }
+    }
+
     private record Task(long dueUs, long order, Push push, Op op) {
     }
 
@@ -200,6 +211,9 @@
     private final double firstLimit;
     private final long slotUs; // the mean target latency
     private final Map<String, Kind> kinds = new HashMap<>();
+    private final Map<String, Party> parties = new HashMap<>();
+    private double came; // arrivals of all tenants, fading
+    private long fadedUs;
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
     private final List<Server> near = new ArrayList<>(); // those of them in our own zone
@@ -223,6 +237,8 @@
     private long flowSlotUs; // start of the present count
     private double flowNow; // calm time of the answers since then
     private double flowBefore; // and in the slot before
+    private int countNow; // of them
+    private int countBefore;
     private long rateSlot;
     private int answersNow;
     private int answersBefore;
@@ -242,6 +258,12 @@
         for (Category c : categories) {
             kinds.put(c.name(), new Kind(c));
         }
+        double quotas = tenants.stream().mapToDouble(Tenant::quotaPerS).sum();
+        for (Tenant t : tenants) {
+            if (t.quotaPerS() > 0) {
+                parties.put(t.name(), new Party(t.quotaPerS() / quotas));
+            }
+        }
         if (mustAsk) {
             listenUs = Long.MIN_VALUE;
         }
@@ -285,11 +307,28 @@
         now = nowUs;
         Kind kind = kinds.get(category);
         Op op = new Op(id, kind, now, now + ttlUs, order++);
-        op.rank = kind.is.benefit() * (repeat ? 0.5 : 1);
+        op.rank = kind.is.benefit() * (repeat ? 0.5 : 1) * fairness(tenant);
         ops.put(id, op);
         todo.add(op);
     }
 
+    /** Below 1 for a tenant that sends more than its part, so that its burst waits behind the others. */
+    private double fairness(String tenant) {
+        Party party = parties.get(tenant);
+        if (party == null) {
+            return 1;
+        }
+        if (now - fadedUs > slotUs) {
+            double left = Math.exp(-(double) (now - fadedUs) / FADE_US);
+            parties.values().forEach(p -> p.came *= left);
+            came *= left;
+            fadedUs = now;
+        }
+        party.came++;
+        came++;
+        return Math.min(1, party.part * came / party.came);
+    }
+
     /** A push has ended; {@code over} where the op is over with it or was before. */
     public void ended(long nowUs, long id, int number, String endpoint, Outcome outcome, long tookUs, boolean over,
             Load load) {
@@ -375,6 +414,7 @@
         learn(s, tookUs / kind.meanUs);
         s.fulls = 0;
         flowNow += kind.calmUs;
+        countNow++;
         pressed(push, tookUs);
         if (s.coldFromUs > 0) {
             s.coldAnswers++;
@@ -500,6 +540,10 @@
                 waiting.remove(op);
             }
         }
+        // More wait than can be answered in the time that they may wait: the least of them is told at once.
+        while (waiting.size() > 1 + answered() * WAIT_SHARE) {
+            giveUp(waiting.last());
+        }
         long due = Math.min(listenUs, tasks.isEmpty() ? Long.MAX_VALUE : tasks.peek().dueUs);
         if (due < wakeUs) {
             wakeUs = due;
@@ -535,14 +579,22 @@
      */
     private double most() {
         if (now - flowSlotUs >= slotUs) {
-            flowBefore = now - flowSlotUs < 2 * slotUs ? flowNow : 0;
+            boolean next = now - flowSlotUs < 2 * slotUs;
+            flowBefore = next ? flowNow : 0;
+            countBefore = next ? countNow : 0;
             flowNow = 0;
+            countNow = 0;
             flowSlotUs = now;
         }
         double calm = (flowBefore + flowNow) / (slotUs + now - flowSlotUs);
         return Math.max(flowBefore == 0 ? firstLimit * in.size() : 1, QUEUE * calm + Math.sqrt(calm) + 1);
     }
 
+    /** Answers in a mean target latency, of late. */
+    private double answered() {
+        return (double) (countBefore + countNow) * slotUs / (slotUs + now - flowSlotUs);
+    }
+
     private void place(Op op) {
         boolean first = op.pushes.isEmpty();
         if (first && onProbation(op)) {
@@ -550,10 +602,11 @@
         }
         if (!first && !afford(op)) {
             giveUp(op);
-        } else if (flying >= most() || !push(op, pick(op), false)) {
+        } else if (first && !waiting.isEmpty() || flying >= most() || !push(op, pick(op), false)) {
             long until = op.bornUs + (long) (WAIT_SHARE * op.kind.is.targetUs());
             if (op.pushes.stream().noneMatch(Push::risky) && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
+                room = true;
                 tasks.add(new Task(until, order++, null, op));
             } else {
                 giveUp(op);
