--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -685,7 +685,7 @@
     }
 
     private boolean usable(Op op, Server s) {
-        if (s.flying >= s.limit.most || now < s.holdUs || !lawful(op, s)) {
+        if (now < s.holdUs || !lawful(op, s)) {
             return false;
         }
         for (int i = 0; i < op.pushes.size(); i++) {
