--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -32,7 +32,7 @@
  * <li>Cold cap: a fresh or returned endpoint gets pushes as its answers and our part of its budget allow.
  * <li>Silence: an overdue push counts as a failure before its TTL, and its age lifts the latency.
  * <li>Further pushes: second copies and retries on a budget that grows with first pushes.
- * <li>Admission: an in-flight limit for each endpoint, learned from latency; a short wait, then a nack.
+ * <li>Admission: a bound on what is in flight, by Little's law; a short wait in order of benefit, then a nack.
  * <li>Part failures: a smoothed failure share ejects as a run does.
  * <li>Tenant fairness: under pressure, ops beyond a tenant's part of the traffic wait behind the others.
  * </ol>
@@ -47,10 +47,10 @@
     private static final long FORGET_US = 10_000_000; // a slow endpoint without answers is tried again after this
     private static final double OVERDUE = 3; // expected latencies after which a push counts as silence
     private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
-    private static final double FIRST_LIMIT = 3; // in flight at an endpoint, by all sidecars, before anything is learned
+    private static final double FIRST_LIMIT = 3; // in flight at an endpoint, by all sidecars, before the first answers
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
+    private static final double HELD = 3; // times its part of the bound that one endpoint may hold
     private static final double QUEUE = 1.5; // times what is in flight without a queue, over all endpoints
-    private static final double PRESSED = 1; // queue, in calm answers, at which a limit stops growing and shrinks
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
@@ -119,11 +119,6 @@
             meanUs += (us - meanUs) * Math.max(0.05, 1.0 / answers);
             calmUs = answers < 10 || meanUs < calmUs ? meanUs : calmUs + 0.0001 * (meanUs - calmUs);
         }
-
-        /** How many calm answers long the queue seems, from what an answer took. */
-        double pressure(double us) {
-            return us / Math.min(calmUs, 0.5 * is.targetUs()) - 1;
-        }
     }
 
     // ---- For one endpoint
@@ -133,7 +128,6 @@
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave when they reach the head
         int flying;
         double slowness = 1; // smoothed latency over the mean of the category
-        Limit limit;
         long holdUs; // it said full: nothing goes there until then
         int fulls; // in a row
         long lastAnswerUs;
@@ -151,38 +145,8 @@
         int sentNow;
         int sentBefore;
 
-        Server(Endpoint is, double limit) {
+        Server(Endpoint is) {
             this.is = is;
-            this.limit = new Limit(limit);
-        }
-    }
-
-    /** How much may be in flight, learned from answers: it grows while in use, and shrinks while they come late. */
-    private static final class Limit {
-        double most;
-        double pressure; // smoothed, see Kind
-        long cutUs;
-
-        Limit(double most) {
-            this.most = most;
-        }
-
-        void learn(double ratio, int flying, long now, long tookUs) {
-            pressure += 1.0 / (4 + flying) * (Math.max(-2, Math.min(ratio, 4)) - pressure);
-            if (pressure > PRESSED) {
-                cut(flying, now, tookUs);
-            } else if (flying + 1 >= 0.75 * most) {
-                // From the start it grows by a quarter a round, until the first sign of a queue.
-                most += cutUs == 0 && pressure < PRESSED / 2 ? 0.25 : Math.max(0.05, 1 / most);
-            }
-        }
-
-        /** At most once in the time that an answer takes. */
-        void cut(int flying, long now, long tookUs) {
-            if (now - cutUs > tookUs) {
-                most = Math.max(1, Math.min(most, flying + 1) * Math.max(0.5, Math.min(0.9, (1 + PRESSED) / (1.1 + pressure))));
-                cutUs = now;
-            }
         }
     }
 
@@ -234,6 +198,7 @@
     private boolean room;
     private double spare = SPARE_MOST / 2;
     private int flying;
+    private double held = 1; // how much of that one endpoint may hold
     private long flowSlotUs; // start of the present count
     private double flowNow; // calm time of the answers since then
     private double flowBefore; // and in the slot before
@@ -280,11 +245,10 @@
             servers.values().forEach(s -> s.listed = false);
         }
         for (Endpoint e : entries) {
-            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e, firstLimit));
+            Server s = servers.computeIfAbsent(e.id(), id -> new Server(e));
             if (e.startedUs() > s.is.startedUs() || s.lastAnswerUs == 0 && s.coldFromUs == 0 && e.startedUs() > 0) {
                 if (e.startedUs() > s.is.startedUs()) { // a new process: nothing known of the old one holds
                     s.slowness = 1;
-                    s.limit = new Limit(firstLimit);
                 }
                 chill(s, e.startedUs());
             }
@@ -353,12 +317,10 @@
             if (tookUs > op.kind.meanUs * s.slowness) {
                 learn(s, tookUs / op.kind.meanUs);
             }
-            pressed(push, tookUs);
             failed(push, s, push.silent);
         } else {
             if (outcome == Outcome.FULL) {
                 // Full, yet we thought there was room: others push here too. Stay away for a while, longer each time.
-                s.limit.cut(s.flying, now, 0);
                 s.holdUs = now + (long) (op.kind.meanUs * (0.5 + random.nextDouble()) * (1 << Math.min(s.fulls++, 4)));
             }
             if (s.probation == push) {
@@ -415,7 +377,6 @@
         s.fulls = 0;
         flowNow += kind.calmUs;
         countNow++;
-        pressed(push, tookUs);
         if (s.coldFromUs > 0) {
             s.coldAnswers++;
             if (now - s.coldFromUs > cold.warmUpUs()) {
@@ -448,11 +409,6 @@
         s.slowness += SMOOTH * (Math.min(slowness, 20) - s.slowness);
     }
 
-    private void pressed(Push push, long tookUs) {
-        double ratio = push.op.kind.pressure(tookUs);
-        push.to.limit.learn(ratio, push.to.flying, now, (long) push.op.kind.calmUs);
-    }
-
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
     private void failed(Push push, Server s, boolean noted) {
         boolean silence = push.end == null;
@@ -587,7 +543,9 @@
             flowSlotUs = now;
         }
         double calm = (flowBefore + flowNow) / (slotUs + now - flowSlotUs);
-        return Math.max(flowBefore == 0 ? firstLimit * in.size() : 1, QUEUE * calm + Math.sqrt(calm) + 1);
+        double most = Math.max(flowBefore == 0 ? firstLimit * in.size() : 1, QUEUE * calm + Math.sqrt(calm) + 1);
+        held = 1 + HELD * most / Math.max(1, in.size());
+        return most;
     }
 
     /** Answers in a mean target latency, of late. */
@@ -685,7 +643,7 @@
     }
 
     private boolean usable(Op op, Server s) {
-        if (now < s.holdUs || !lawful(op, s)) {
+        if (now < s.holdUs || s.flying >= held || !lawful(op, s)) {
             return false;
         }
         for (int i = 0; i < op.pushes.size(); i++) {
@@ -804,7 +762,6 @@
         if (push.end != null || op.begun) {
             return;
         }
-        pressed(push, now - push.sentUs);
         if (!push.silent && push.to.lastAnswerUs < push.sentUs) {
             failed(push, push.to, false);
             push.silent = true;
