--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -184,6 +184,7 @@
     private final List<Server> ejected = new ArrayList<>();
     private final Map<Long, Op> ops = new HashMap<>();
     private final ArrayDeque<Op> todo = new ArrayDeque<>();
+    private final ArrayDeque<Op> leftOver = new ArrayDeque<>(); // over, with pushes still out
     private final TreeSet<Op> waiting = new TreeSet<>((a, b) ->
             a.rank != b.rank ? Double.compare(b.rank, a.rank) : Long.compare(a.order, b.order));
     private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) ->
@@ -306,7 +307,7 @@
         op.out--;
         Server s = push.to;
         s.flying--;
-        flying--;
+        flying -= push.silent ? 0 : 1;
         while (!s.inFlight.isEmpty() && s.inFlight.peekFirst().end != null) {
             s.inFlight.pollFirst();
         }
@@ -444,6 +445,9 @@
     private void finish(Op op) {
         op.over = true;
         waiting.remove(op);
+        if (op.out > 0 && rule.cancel() && !op.begun) {
+            leftOver.add(op);
+        }
     }
 
     private void forget(Op op) {
@@ -467,6 +471,13 @@
             listenUs = Long.MAX_VALUE;
             ready.add(Decision.listen());
         }
+        for (Op op; (op = leftOver.poll()) != null;) {
+            for (Push p : op.pushes) {
+                if (p.end == null) {
+                    ready.add(Decision.cancel(op.id, p.number));
+                }
+            }
+        }
         if (listChanged) {
             sort();
         }
@@ -490,10 +501,13 @@
             room = false;
             while (!waiting.isEmpty() && flying < most()) {
                 Op op = waiting.first();
-                if (!push(op, pick(op), false)) {
+                if (push(op, pick(op), false)) {
+                    waiting.remove(op);
+                } else if (op.pushes.isEmpty()) {
                     break;
+                } else {
+                    giveUp(op); // it has tried what there is, and must not block the others
                 }
-                waiting.remove(op);
             }
         }
         // More wait than can be answered in the time that they may wait: the least of them is told at once.
@@ -562,7 +576,8 @@
             giveUp(op);
         } else if (first && !waiting.isEmpty() || flying >= most() || !push(op, pick(op), false)) {
             long until = op.bornUs + (long) (WAIT_SHARE * op.kind.is.targetUs());
-            if (op.pushes.stream().noneMatch(Push::risky) && !in.isEmpty() && until > now && until < op.endUs) {
+            boolean fresh = first || flying >= most() && op.pushes.stream().noneMatch(Push::risky);
+            if (fresh && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
                 room = true;
                 tasks.add(new Task(until, order++, null, op));
@@ -759,12 +774,16 @@
     /** A push has gone unanswered for far longer than its kind takes: silence is evidence, and a copy may help. */
     private void overdue(Push push) {
         Op op = push.op;
-        if (push.end != null || op.begun) {
+        if (push.end != null || push.silent || op.begun) {
             return;
         }
-        if (!push.silent && push.to.lastAnswerUs < push.sentUs) {
+        long after = overdueAfter(push);
+        if (push.to.lastAnswerUs <= Math.max(push.sentUs, now - after)) {
             failed(push, push.to, false);
             push.silent = true;
+            flying--; // one silent endpoint must not use up the bound of a sidecar with little traffic
+        } else { // it answers others: look again, it may fall silent yet
+            tasks.add(new Task(now + after, order++, push, null));
         }
         if (!op.over && op.out == 1 && rule.copies() && spare >= 1 && flying < most() && push(op, pick(op), false)) {
             spare--;
--- /dev/null
+++ b/src/test/java/dillcross/LogicTest.java
@@ -0,0 +1,385 @@
+package dillcross;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dillcross.Sidecar.Sent;
+import dillcross.model.Decision;
+import dillcross.model.Outcome;
+import dillcross.model.PushRule;
+import dillcross.model.Tenant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LogicTest {
+    private static final String[] THREE = {"a:UP:1:east", "b:UP:1:east", "c:UP:2:west"};
+
+    // ---- The design's life cycle
+
+    /** E error, T time-out, R reset, X connection failed, F full, A ack, on the only endpoint; then another joins. */
+    @ParameterizedTest
+    @CsvSource({"EEEEE, true", "TTTTT, true", "RRRRR, true", "XXXXX, true", "EEEE, false", "FFFFFFFF, false",
+        "EEAAEEAA, false", "EEFFFEEE, true", "EEEAEEEAEEEA, true"})
+    void ejectsAfterFiveInARowOrTooLargeAShare(String outcomes, boolean ejected) {
+        Sidecar s = Sidecar.with("a");
+        for (char c : outcomes.toCharArray()) {
+            fail(s, c);
+        }
+        s.list(false, "b");
+        assertEquals(ejected, s.traffic(30, "a") == 0);
+    }
+
+    private static void fail(Sidecar s, char outcome) {
+        long op = s.arrive("once");
+        s.pass(10);
+        s.end(s.of(op), switch (outcome) {
+            case 'E' -> Outcome.ERROR;
+            case 'T' -> Outcome.TIMED_OUT;
+            case 'R' -> Outcome.RESET;
+            case 'X' -> Outcome.CONNECT_FAILED;
+            case 'F' -> Outcome.FULL;
+            default -> Outcome.ACKED;
+        });
+        s.pass(outcome == 'F' ? 2000 : 10);
+    }
+
+    private static Sidecar ejected() {
+        Sidecar s = Sidecar.with("a", "b");
+        for (int failures = 0; failures < 5;) {
+            Sent p = s.of(s.arrive("read"));
+            s.pass(5);
+            s.end(p, p.endpoint().equals("a") ? Outcome.ERROR : Outcome.ACKED);
+            failures += p.endpoint().equals("a") ? 1 : 0;
+            List.copyOf(s.out).forEach(q -> s.end(q, Outcome.ACKED));
+        }
+        return s;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"ACKED, true", "ERROR, false", "TIMED_OUT, false"})
+    void aPenaltyEndsInOneOpOnProbation(Outcome outcome, boolean back) {
+        Sidecar s = ejected();
+        assertEquals(0, s.traffic(30, "a")); // 0.6 s: within the shortest penalty
+        s.pass(700);
+        Sent probe = s.of(s.arrive("read"));
+        assertEquals("a", probe.endpoint());
+        assertEquals(0, s.traffic(2, "a"), "one at a time");
+        s.end(probe, outcome);
+        for (Sent p : List.copyOf(s.out)) {
+            s.end(p, Outcome.ACKED);
+        }
+        assertEquals(back, s.traffic(60, "a") > 0); // 1.2 s
+        s.pass(1300);
+        assertTrue(s.traffic(60, "a") > 0, "the second penalty is twice the first, not more");
+    }
+
+    @Test
+    void withAllEjectedItPicksAsIfNoneWere() {
+        Sidecar s = Sidecar.with("a");
+        for (int i = 0; i < 6; i++) {
+            fail(s, 'E');
+        }
+        assertEquals("a", s.of(s.arrive("once")).endpoint());
+    }
+
+    /** A probation op whose push never ends must not keep the endpoint out for good. */
+    @Test
+    void aLostProbationEndsToo() {
+        Sidecar s = ejected();
+        s.pass(1300);
+        assertEquals("a", s.of(s.arrive("read")).endpoint());
+        s.pass(10_000);
+        assertEquals("a", s.of(s.arrive("read")).endpoint());
+    }
+
+    /** The faster of two endpoints gets most of the traffic. */
+    @Test
+    void picksByLatency() {
+        Sidecar s = Sidecar.with("a", "b");
+        int[] got = new int[2];
+        for (int i = 0; i < 200; i++) {
+            Sent p = s.of(s.arrive("read"));
+            s.pass(p.endpoint().equals("a") ? 100 : 20);
+            s.end(p, Outcome.ACKED);
+            got[p.endpoint().equals("a") ? 0 : 1]++;
+        }
+        assertTrue(got[1] > 2 * got[0], got[0] + " " + got[1]);
+    }
+
+    // ---- Rules
+
+    /** After the outcome of a first push to {@code a} (cell 1, east): where the op goes next, or its answer. */
+    @ParameterizedTest
+    @CsvSource({"read, ERROR, PUSH", "read, CONNECT_FAILED, PUSH", "cell, ERROR, b", "zone, RESET, b", "any, ERROR, PUSH",
+        "cell, CONNECT_FAILED, PUSH", "once, CONNECT_FAILED, PUSH", "once, FULL, PUSH", "once, ERROR, DEAD_LETTER",
+        "once, RESET, DEAD_LETTER", "once, TIMED_OUT, DEAD_LETTER"})
+    void noEffectTwice(String category, Outcome outcome, String next) {
+        Sidecar s = Sidecar.with("a:UP:1:east");
+        long op = s.arrive(category);
+        s.list(true, THREE);
+        s.pass(5);
+        s.end(s.of(op), outcome);
+        switch (next) {
+            case "PUSH" -> assertTrue(s.of(op).number() == 1 && !s.answers.containsKey(op));
+            case "DEAD_LETTER" -> assertEquals(Decision.Kind.DEAD_LETTER, s.answers.get(op).kind());
+            default -> assertEquals(next, s.of(op).endpoint());
+        }
+    }
+
+    /** No endpoint may take it again: the answer comes at once, and is a nack only where that is safe. */
+    @ParameterizedTest
+    @CsvSource({"read, ERROR, NACK", "read, TIMED_OUT, NACK", "cell, ERROR, DEAD_LETTER", "zone, TIMED_OUT, DEAD_LETTER",
+        "any, ERROR, NACK", "once, ERROR, DEAD_LETTER", "once, CONNECT_FAILED, NACK", "cell, FULL, NACK"})
+    void theLastAnswerIsPromptAndTrue(String category, Outcome outcome, Decision.Kind answer) {
+        Sidecar s = Sidecar.with("a:UP:1:east");
+        long op = s.arrive(category);
+        s.pass(300);
+        s.list(true, "a:DRAINING:1:east", "c:DRAINING:2:west");
+        s.end(s.of(op), outcome);
+        assertEquals(answer, s.answers.get(op).kind());
+        s.pass(3000);
+        assertEquals(1, s.pushes.get(op));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a:DRAINING", "a:GONE"})
+    void drainsAreKept(String news) {
+        Sidecar s = Sidecar.with("a", "b");
+        assertTrue(s.traffic(40, "a") > 0);
+        s.list(false, news);
+        assertEquals(0, s.traffic(40, "a"));
+        s.list(true, "c"); // a and b are not named: gone
+        assertEquals(0, s.traffic(40, "a") + s.traffic(40, "b"));
+    }
+
+    @Test
+    void withoutEndpointsTheNackIsPrompt() {
+        Sidecar s = Sidecar.with("a:DRAINING");
+        assertEquals(Decision.Kind.NACK, s.answers.get(s.arrive("once")).kind());
+    }
+
+    /** A fresh endpoint has one op in flight until it answers, and never more than its window allows. */
+    @Test
+    void aColdEndpointIsNotPushedOver() {
+        Sidecar s = Sidecar.with("a", "b");
+        s.traffic(100, "a");
+        s.list(false, "new:UP:1:east:" + s.nowMs);
+        for (int i = 0; i < 12; i++) {
+            s.arrive("read");
+        }
+        assertEquals(1, s.out.stream().filter(p -> p.endpoint().equals("new")).count());
+        s.out.stream().filter(p -> p.endpoint().equals("new")).toList().forEach(p -> s.end(p, Outcome.TIMED_OUT));
+        long sent = 0;
+        for (Sent p : List.copyOf(s.out)) {
+            s.end(p, Outcome.ACKED);
+            s.arrive("read");
+            sent = s.out.stream().filter(q -> q.endpoint().equals("new")).count();
+        }
+        assertTrue(sent <= 1, "a push that timed out still weighs on it: " + sent);
+        List.copyOf(s.out).forEach(p -> s.end(p, Outcome.ACKED));
+        s.pass(9000);
+        assertTrue(s.traffic(60, "new") > 10);
+    }
+
+    /** Drives every kind of op at random and checks each send and answer against the rules. */
+    @ParameterizedTest
+    @CsvSource({"1, 4, true", "2, 4, true", "3, 5, true", "4, 2, false", "5, 3, false", "6, 1, false"})
+    void rulesHoldUnderRandomTrouble(long seed, int most, boolean copies) {
+        Random random = new Random(seed);
+        Sidecar s = new Sidecar(new PushRule(most, copies, true), false);
+        List<String> ids = List.of("a:UP:1:east", "b:UP:1:east", "c:UP:2:west", "d:UP:2:west", "e:UP:3:west");
+        s.list(true, ids.toArray(String[]::new));
+        Map<Long, String> kind = new HashMap<>();
+        Map<String, Outcome> ends = new HashMap<>();
+        Map<Long, List<Sent>> sent = new HashMap<>();
+        Map<Long, Long> due = new HashMap<>();
+        int seen = 0;
+        for (int step = 0; step < 4000; step++) {
+            switch (random.nextInt(8)) {
+                case 0, 1, 2 -> {
+                    String c = List.of("read", "cell", "zone", "any", "once").get(random.nextInt(5));
+                    long op = s.arrive(c, null, 600);
+                    kind.put(op, c);
+                    due.put(op, s.nowMs + 600);
+                }
+                case 3, 4, 5 -> {
+                    if (!s.out.isEmpty()) {
+                        Sent p = s.out.get(random.nextInt(s.out.size()));
+                        Outcome o = Outcome.values()[random.nextInt(5)];
+                        ends.put(p.op() + "/" + p.number(), o);
+                        s.end(p, o);
+                    }
+                }
+                case 6 -> s.pass(random.nextInt(60));
+                default -> {
+                    String e = ids.get(random.nextInt(ids.size()));
+                    s.list(false, random.nextInt(3) == 0 ? e.replace("UP", "DRAINING") : e);
+                }
+            }
+            for (Sent p : new ArrayList<>(s.out)) { // the bench ends what is out at the TTL
+                if (s.nowMs >= due.get(p.op())) {
+                    ends.put(p.op() + "/" + p.number(), Outcome.TIMED_OUT);
+                    s.end(p, Outcome.TIMED_OUT);
+                }
+            }
+            for (; seen < s.sent.size(); seen++) {
+                Sent p = s.sent.get(seen);
+                List<Sent> before = sent.computeIfAbsent(p.op(), op -> new ArrayList<>());
+                String what = kind.get(p.op()) + " " + before + " then " + p;
+                assertTrue(before.size() < most && p.atMs() < due.get(p.op()), what);
+                for (Sent b : before) {
+                    Outcome o = ends.get(b.op() + "/" + b.number());
+                    assertTrue(copies || o != null, what);
+                    if (o == null || o.mayHaveRun) {
+                        assertTrue(switch (kind.get(p.op())) {
+                            case "once" -> false;
+                            case "cell" -> group(b, 2).equals(group(p, 2)) && p.atMs() - b.atMs() <= 1000;
+                            case "zone" -> group(b, 3).equals(group(p, 3)) && p.atMs() - b.atMs() <= 1000;
+                            case "any" -> p.atMs() - b.atMs() <= 1000;
+                            default -> true;
+                        }, what);
+                    }
+                }
+                before.add(p);
+            }
+        }
+        s.pass(700);
+        for (Sent p : List.copyOf(s.out)) {
+            s.end(p, Outcome.TIMED_OUT);
+        }
+        kind.keySet().forEach(op -> assertTrue(s.answers.containsKey(op), "never answered: " + kind.get(op)));
+    }
+
+    private static String group(Sent p, int part) {
+        return part == 2 ? p.endpoint().matches("[ab]") ? "1" : p.endpoint().equals("e") ? "3" : "2"
+                : p.endpoint().matches("[ab]") ? "east" : "west";
+    }
+
+    // ---- Troubles
+
+    /** An endpoint that takes ops and answers none is out long before their TTL, and its ops get a second copy. */
+    @Test
+    void silenceIsEvidence() {
+        Sidecar s = Sidecar.with("a", "b", "c");
+        s.traffic(60, "a");
+        int copies = 0;
+        for (int i = 0; i < 80; i++) {
+            long op = s.arrive("read");
+            s.pass(25);
+            for (Sent p : List.copyOf(s.out)) {
+                if (!p.endpoint().equals("a")) {
+                    copies += p.number();
+                    s.end(p, Outcome.ACKED);
+                }
+            }
+        }
+        assertTrue(copies > 0);
+        assertTrue(s.sent.stream().filter(p -> p.endpoint().equals("a") && p.atMs() > s.nowMs - 1000).count() <= 2);
+    }
+
+    /** Pushes to an endpoint that fell silent right after an answer must not hold the bound until their TTL. */
+    @Test
+    void silenceAfterAnAnswerCountsToo() {
+        Sidecar s = Sidecar.with("a", "b");
+        s.traffic(60, "a");
+        for (int i = 0; i < 6; i++) {
+            s.arrive("once");
+        }
+        s.end(s.out.get(0), Outcome.ACKED);
+        s.pass(500);
+        s.list(true, "c");
+        assertEquals(20, s.traffic(20, "c"));
+    }
+
+    /** An answer after a pause ends an ejection that nothing but silence caused. */
+    @Test
+    void aPauseCostsLittle() {
+        Sidecar s = Sidecar.with("a", "b");
+        s.traffic(40, "a");
+        for (int i = 0; i < 24; i++) {
+            s.arrive("read");
+            s.pass(5);
+            s.out.stream().filter(p -> p.endpoint().equals("b")).toList().forEach(p -> s.end(p, Outcome.ACKED));
+        }
+        s.pass(200);
+        for (Sent p : List.copyOf(s.out)) {
+            s.end(p, Outcome.ACKED);
+        }
+        assertTrue(s.traffic(100, "a") > 10);
+    }
+
+    /** A fleet that answers nothing must not be sent everything: in flight stays bounded, the rest is told at once. */
+    @ParameterizedTest
+    @ValueSource(strings = {"read", "once"})
+    void anOverloadIsNotFed(String category) {
+        Sidecar s = Sidecar.with("a", "b", "c");
+        s.traffic(100, "a");
+        List<Long> ops = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            ops.add(s.arrive(category));
+            s.pass(5);
+        }
+        assertTrue(s.out.size() <= 12, "in flight " + s.out.size());
+        assertTrue(s.sent.size() - 100 < 60, "pushes " + (s.sent.size() - 100));
+        long nacked = ops.stream().filter(op -> s.answers.get(op) != null
+                && s.answers.get(op).kind() == Decision.Kind.NACK && s.answers.get(op).us() > 0).count();
+        assertTrue(nacked > 200, "nacked " + nacked);
+    }
+
+    /** Where two tenants have like quotas and one floods, the other's ops are the ones that get through. */
+    @Test
+    void aTenantsBurstWaitsBehindTheOthers() {
+        Sidecar s = new Sidecar(Sidecar.PUSHES, false, new Tenant("loud", 50), new Tenant("calm", 50));
+        s.list(true, "a", "b");
+        int[] came = new int[2];
+        int[] pushed = new int[2];
+        Map<Long, Integer> whose = new HashMap<>();
+        for (int i = 0; i < 2000; i++) {
+            int who = i % 8 == 0 ? 1 : 0;
+            whose.put(s.arrive("read", who == 1 ? "calm" : "loud", 2000), who);
+            came[who]++;
+            s.pass(5);
+            if (i % 4 == 0) {
+                s.out.stream().filter(p -> p.atMs() < s.nowMs - 40).findFirst().ifPresent(p -> s.end(p, Outcome.ACKED));
+            }
+        }
+        s.pushes.keySet().forEach(op -> pushed[whose.get(op)]++);
+        assertTrue(pushed[1] > 0.8 * came[1] && pushed[0] < 0.4 * came[0],
+                pushed[1] + " of " + came[1] + ", " + pushed[0] + " of " + came[0]);
+    }
+
+    /** A list out of reach is asked for again, later each time, and not by all sidecars at once. */
+    @Test
+    void anUnreachableListIsAskedForAgain() {
+        Sidecar s = new Sidecar(Sidecar.PUSHES, true);
+        s.list(true, "a");
+        for (int i = 0; i < 6; i++) {
+            s.logic.listFailed(s.nowMs * 1000);
+            s.pull();
+            s.pass(10_000);
+        }
+        assertEquals(7, s.listens.size());
+        assertTrue(s.listens.get(1) - s.listens.get(0) < 1000);
+    }
+
+    @Test
+    void whatIsOverStaysOver() {
+        Sidecar s = Sidecar.with("a", "b");
+        long op = s.arrive("read");
+        s.logic.left(s.nowMs * 1000, op);
+        s.pull();
+        s.logic.left(s.nowMs * 1000, op);
+        s.pass(3000);
+        assertEquals(-1, s.answers.get(op).op(), "no answer of ours");
+        assertEquals(1, s.pushes.get(op));
+        assertFalse(s.sent.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/dillcross/Sidecar.java
@@ -0,0 +1,151 @@
+package dillcross;
+
+import dillcross.model.Category;
+import dillcross.model.ColdRule;
+import dillcross.model.Decision;
+import dillcross.model.Effect;
+import dillcross.model.Endpoint;
+import dillcross.model.Endpoint.Health;
+import dillcross.model.Group;
+import dillcross.model.Load;
+import dillcross.model.Outcome;
+import dillcross.model.PushRule;
+import dillcross.model.Tenant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One sidecar under test: keeps its clock in milliseconds, its wakes, and what it has out. */
+final class Sidecar {
+    static final ColdRule COLD = new ColdRule(0.3, 8_000_000, 3, 1_500_000);
+    static final PushRule PUSHES = new PushRule(4, true, true);
+
+    /** A push that is out. */
+    record Sent(long op, int number, String endpoint, long atMs) {
+    }
+
+    final Logic logic;
+    final List<Sent> out = new ArrayList<>();
+    final List<Sent> sent = new ArrayList<>();
+    final Map<Long, Decision> answers = new HashMap<>();
+    final List<Long> listens = new ArrayList<>();
+    final Map<Long, Integer> pushes = new HashMap<>();
+    private final List<Long> wakes = new ArrayList<>();
+    long nowMs = 1_000_000;
+    private final List<Sent> cancelled = new ArrayList<>();
+    private long lastOp = 100;
+
+    Sidecar(PushRule rule, boolean mustAsk, Tenant... tenants) {
+        logic = new Logic(7, "east", 3, List.of(
+                category("read", Effect.REDELIVERABLE, Group.ALL), category("cell", Effect.DEDUPLICATED, Group.CELL),
+                category("zone", Effect.DEDUPLICATED, Group.ZONE), category("any", Effect.DEDUPLICATED, Group.ALL),
+                category("once", Effect.AT_MOST_ONCE, Group.ALL)), List.of(tenants), COLD, rule, mustAsk, 10_000_000,
+                1_000_000, 0.03);
+    }
+
+    static Sidecar with(String... endpoints) {
+        Sidecar s = new Sidecar(PUSHES, false);
+        s.list(true, endpoints);
+        return s;
+    }
+
+    private static Category category(String name, Effect effect, Group group) {
+        return new Category(name, effect, group, 1_000_000, 400_000, 2_000_000, 1, 0, false);
+    }
+
+    /** Endpoints as {@code id:health:cell:zone:startedMs}, all but the id optional. */
+    void list(boolean whole, String... endpoints) {
+        List<Endpoint> entries = new ArrayList<>();
+        for (String text : endpoints) {
+            String[] p = text.split(":");
+            entries.add(new Endpoint(p[0], p.length > 1 ? Health.valueOf(p[1]) : Health.UP,
+                    p.length > 4 ? Long.parseLong(p[4]) * 1000 : 0, 1, p.length > 2 ? Integer.parseInt(p[2]) : 1,
+                    p.length > 3 ? p[3] : "east"));
+        }
+        logic.list(nowMs * 1000, whole, entries);
+        pull();
+    }
+
+    long arrive(String category) {
+        return arrive(category, null, 2000);
+    }
+
+    long arrive(String category, String tenant, long ttlMs) {
+        long op = ++lastOp;
+        logic.arrive(nowMs * 1000, op, tenant, category, ttlMs * 1000, false);
+        pull();
+        return op;
+    }
+
+    /** Ends the push; an ack ends its op with it. */
+    void end(Sent push, Outcome outcome) {
+        out.remove(push);
+        if (outcome == Outcome.CANCELLED && !answers.containsKey(push.op())) {
+            answers.put(push.op(), Decision.deadLetter(-1)); // the client has gone
+        }
+        boolean over = outcome == Outcome.ACKED || answers.containsKey(push.op());
+        if (outcome == Outcome.ACKED) {
+            answers.putIfAbsent(push.op(), Decision.deadLetter(-1)); // stands for the ack
+        }
+        logic.ended(nowMs * 1000, push.op(), push.number(), push.endpoint(), outcome,
+                (nowMs - push.atMs()) * 1000, over, Load.UNKNOWN);
+        pull();
+    }
+
+    Sent of(long op) {
+        return out.stream().filter(p -> p.op() == op).reduce((a, b) -> b).orElseThrow();
+    }
+
+    /** Moves the clock on, waking the module where it asked for it. */
+    void pass(long ms) {
+        long until = nowMs + ms;
+        while (true) {
+            long next = wakes.stream().mapToLong(w -> w).min().orElse(Long.MAX_VALUE);
+            nowMs = Math.min(until, Math.max(nowMs, next));
+            if (next > until) {
+                return;
+            }
+            wakes.removeIf(w -> w <= nowMs);
+            logic.woken(nowMs * 1000);
+            pull();
+        }
+    }
+
+    /** Sends ops that are each answered after a while; returns how many pushes the endpoint got. */
+    long traffic(int ops, String endpoint) {
+        int from = sent.size();
+        for (int i = 0; i < ops; i++) {
+            long op = arrive("read");
+            pass(20);
+            out.stream().filter(p -> p.op() == op).findFirst().ifPresent(p -> end(p, Outcome.ACKED));
+        }
+        return sent.subList(from, sent.size()).stream().filter(p -> p.endpoint().equals(endpoint)).count();
+    }
+
+    /** Takes every decision that is ready. */
+    void pull() {
+        for (Decision next; (next = logic.next()) != null;) {
+            Decision d = next;
+            switch (d.kind()) {
+                case PUSH -> {
+                    Sent push = new Sent(d.op(), pushes.merge(d.op(), 1, Integer::sum) - 1, d.endpoint(), nowMs);
+                    out.add(push);
+                    sent.add(push);
+                }
+                case NACK, DEAD_LETTER -> {
+                    if (answers.put(d.op(), d) != null) {
+                        throw new AssertionError("answered twice: " + d);
+                    }
+                }
+                case WAKE -> wakes.add(nowMs + (d.us() + 999) / 1000);
+                case LISTEN -> listens.add(nowMs);
+                case CANCEL -> cancelled.addAll(out.stream().filter(p -> p.op() == d.op() && p.number() == d.push())
+                        .toList());
+            }
+        }
+        while (!cancelled.isEmpty()) {
+            end(cancelled.remove(0), Outcome.CANCELLED);
+        }
+    }
+}
