--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -1,23 +1,7 @@
 package dillcross;
 
-import dillcross.model.Category;
-import dillcross.model.ColdRule;
-import dillcross.model.Decision;
-import dillcross.model.Effect;
-import dillcross.model.Endpoint;
-import dillcross.model.Load;
-import dillcross.model.Outcome;
-import dillcross.model.PushRule;
-import dillcross.model.Tenant;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Random;
-import java.util.TreeSet;
+import dillcross.model.*;
+import java.util.*;
 
 /**
  * Every decision of one sidecar. How to call it: tell it what happened (list, listFailed, arrive, ended,
@@ -62,16 +46,14 @@
         final int number;
         final Server to;
         final long sentUs;
-        final boolean probation;
         Outcome end; // null while out
         boolean silent; // has been counted as a failure for its silence
 
-        Push(Op op, int number, Server to, long sentUs, boolean probation) {
+        Push(Op op, int number, Server to, long sentUs) {
             this.op = op;
             this.number = number;
             this.to = to;
             this.sentUs = sentUs;
-            this.probation = probation;
         }
 
         /** It may have run, or may still. */
@@ -88,6 +70,7 @@
         final long endUs;
         final long order;
         double rank;
+        Tally tenant; // null where it has no quota
         final List<Push> pushes = new ArrayList<>(2);
         int out;
         boolean over;
@@ -105,6 +88,7 @@
     /** A category and what has been seen of it. */
     private static final class Kind {
         final Category is;
+        final Tally tally = new Tally(1);
         double meanUs; // smoothed latency of its answers
         double calmUs; // the least that the mean was, slowly rising: what it takes without a queue
         int answers;
@@ -135,7 +119,6 @@
         double failing; // smoothed share of failures
         boolean out; // ejected
         boolean bySilence; // ... with no failure but silence
-        long ejectedUs;
         long untilUs;
         long penaltyUs;
         Push probation;
@@ -150,14 +133,25 @@
         }
     }
 
-    /** A tenant's part of what comes in here, against its part of the quotas. */
-    private static final class Party {
-        final double part;
-        double came; // arrivals, fading
+    /** What came of late from a tenant or of a category, and what of that got a push; both fade. */
+    private static final class Tally {
+        final double part; // of all that comes, that is within its share
+        double came;
+        double got;
 
-        Party(double part) {
+        Tally(double part) {
             this.part = part;
         }
+
+        /** Above 1 where less was pushed than its share of what came. */
+        double need(double all) {
+            return Math.max(0.2, Math.min(came, part * all)) / Math.max(0.2, got);
+        }
+
+        void fade(double left) {
+            came *= left;
+            got *= left;
+        }
     }
 
     private record Task(long dueUs, long order, Push push, Op op) {
@@ -169,14 +163,16 @@
     private final int sidecars;
     private final ColdRule cold;
     private final PushRule rule;
+    private final boolean byWork; // benefit is counted for each unit of work, not for each op
     private final long askWithinUs;
     private final long mostRetryAfterUs;
     private final double crossing;
     private final double firstLimit;
     private final long slotUs; // the mean target latency
     private final Map<String, Kind> kinds = new HashMap<>();
-    private final Map<String, Party> parties = new HashMap<>();
-    private double came; // arrivals of all tenants, fading
+    private final Map<String, Tally> tenants = new HashMap<>();
+    private double came; // all arrivals, fading
+    private double due; // of them within the shares of their tenants
     private long fadedUs;
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
@@ -210,13 +206,14 @@
     private int answersBefore;
 
     public Logic(long seed, String zone, int sidecars, List<Category> categories, List<Tenant> tenants, ColdRule cold,
-            PushRule rule, boolean mustAsk, long askWithinUs, long mostRetryAfterUs, double crossingPrice) {
+            PushRule rule, boolean byWork, boolean mustAsk, long askWithinUs, long mostRetryAfterUs, double crossingPrice) {
         random = new Random(seed);
         this.zone = zone;
         this.sidecars = Math.max(1, sidecars);
         firstLimit = Math.max(1, FIRST_LIMIT / this.sidecars);
         this.cold = cold;
         this.rule = rule;
+        this.byWork = byWork;
         this.askWithinUs = askWithinUs;
         this.mostRetryAfterUs = mostRetryAfterUs;
         crossing = 1 + CROSSING * crossingPrice;
@@ -227,7 +224,7 @@
         double quotas = tenants.stream().mapToDouble(Tenant::quotaPerS).sum();
         for (Tenant t : tenants) {
             if (t.quotaPerS() > 0) {
-                parties.put(t.name(), new Party(t.quotaPerS() / quotas));
+                this.tenants.put(t.name(), new Tally(t.quotaPerS() / quotas));
             }
         }
         if (mustAsk) {
@@ -272,26 +269,33 @@
         now = nowUs;
         Kind kind = kinds.get(category);
         Op op = new Op(id, kind, now, now + ttlUs, order++);
-        op.rank = kind.is.benefit() * (repeat ? 0.5 : 1) * fairness(tenant);
+        op.tenant = tenants.get(tenant);
+        op.rank = rank(op) * (repeat ? 0.5 : 1);
         ops.put(id, op);
         todo.add(op);
     }
 
-    /** Below 1 for a tenant that sends more than its part, so that its burst waits behind the others. */
-    private double fairness(String tenant) {
-        Party party = parties.get(tenant);
-        if (party == null) {
-            return 1;
-        }
+    /** Counts the op in, and says how far forward it waits: by benefit, and by need of its category and tenant. */
+    private double rank(Op op) {
         if (now - fadedUs > slotUs) {
-            double left = Math.exp(-(double) (now - fadedUs) / FADE_US);
-            parties.values().forEach(p -> p.came *= left);
+            double left = Math.exp((fadedUs - now) / FADE_US);
+            tenants.values().forEach(t -> t.fade(left));
+            kinds.values().forEach(k -> k.tally.fade(left));
             came *= left;
+            due = tenants.isEmpty() ? came : 0;
+            tenants.values().forEach(t -> due += Math.min(t.came, t.part * came));
             fadedUs = now;
         }
-        party.came++;
         came++;
-        return Math.min(1, party.part * came / party.came);
+        Kind kind = op.kind;
+        kind.tally.came++;
+        // The root of the benefit for the work: the best is served first, and no category starves for it.
+        double rank = Math.sqrt(kind.is.benefit() / (byWork ? 1 : kind.calmUs + 1)) * kind.tally.need(came);
+        if (op.tenant != null) {
+            op.tenant.came++;
+            rank *= op.tenant.need(due); // a burst must not raise the share that it is held to
+        }
+        return rank;
     }
 
     /** A push has ended; {@code over} where the op is over with it or was before. */
@@ -431,7 +435,6 @@
         boolean again = s.penaltyUs > 0 && now < s.untilUs + 2 * s.penaltyUs + FIRST_PENALTY_US;
         s.penaltyUs = again ? Math.min(LAST_PENALTY_US, 2 * s.penaltyUs) : FIRST_PENALTY_US;
         s.untilUs = now + (long) (s.penaltyUs * (1 - JITTER + 2 * JITTER * random.nextDouble()));
-        s.ejectedUs = now;
         s.bySilence = bySilence;
         s.out = true;
         listChanged = true;
@@ -613,7 +616,7 @@
     /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
     private void giveUp(Op op) {
         boolean mayNack = op.kind.is.effect() == Effect.REDELIVERABLE || op.pushes.stream().noneMatch(Push::risky)
-                || op.kind.is.effect() == Effect.DEDUPLICATED && op.kind.is.group() == dillcross.model.Group.ALL;
+                || op.kind.is.effect() == Effect.DEDUPLICATED && op.kind.is.group() == Group.ALL;
         if (mayNack) {
             long wait = (long) (op.kind.is.targetUs() * (0.25 + 0.25 * random.nextDouble()));
             ready.add(Decision.nack(op.id, Math.min(mostRetryAfterUs, wait)));
@@ -688,7 +691,7 @@
         if (s == null || !lawful(op, s)) {
             return false;
         }
-        Push push = new Push(op, op.pushes.size(), s, now, probation);
+        Push push = new Push(op, op.pushes.size(), s, now);
         op.pushes.add(push);
         op.out++;
         s.flying++;
@@ -703,6 +706,10 @@
         }
         if (push.number == 0) {
             spare = Math.min(SPARE_MOST, spare + SPARE_SHARE);
+            op.kind.tally.got++;
+            if (op.tenant != null) {
+                op.tenant.got++;
+            }
         }
         long overdueUs = now + overdueAfter(push);
         tasks.add(new Task(overdueUs, order++, push, null));
