--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -34,7 +34,7 @@
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 3; // times its part of the bound that one endpoint may hold
-    private static final double QUEUE = 3; // times what is in flight without a queue, while answers are calm
+    private static final double QUEUE = 2; // times what is in flight without a queue, while answers are calm
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
@@ -557,7 +557,7 @@
     private double most() {
         double mean = calm.at(now / slotUs).sum() / (slotUs + now % slotUs);
         double floor = heardUs == 0 || now - heardUs < slotUs ? firstLimit * in.size() : 1;
-        double most = Math.max(floor, Math.max(1, QUEUE / slowed) * mean + Math.sqrt(mean) + 1);
+        double most = Math.max(floor, QUEUE / slowed * mean + Math.sqrt(mean) + 1);
         held = 1 + HELD * most / Math.max(1, in.size());
         return most + unbound;
     }
