--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -557,7 +557,7 @@
     private double most() {
         double mean = calm.at(now / slotUs).sum() / (slotUs + now % slotUs);
         double floor = heardUs == 0 || now - heardUs < slotUs ? firstLimit * in.size() : 1;
-        double most = Math.max(floor, QUEUE / slowed * mean + Math.sqrt(mean) + 1);
+        double most = Math.max(floor, QUEUE / slowed * mean + 2 * Math.sqrt(mean / sidecars) + 0.5);
         held = 1 + HELD * most / Math.max(1, in.size());
         return most + unbound;
     }
