--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -37,7 +37,7 @@
     private static final double QUEUE = 2; // times what is in flight without a queue, while answers are calm
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
-    private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at most
+    private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
     private static final double COLD_PART = 0.5; // of our part of a cold endpoint's budget
 
     // ---- For one push
@@ -579,7 +579,8 @@
         } else if (!(first && !waiting.isEmpty()) && flying < most() && push(op, pick(op), false)) {
             spare -= price;
         } else {
-            long until = op.bornUs + (long) (WAIT_SHARE * op.kind.is.targetUs());
+            double spareUs = op.kind.is.targetUs() - 1.5 * op.kind.meanUs; // it may wait and be in time still
+            long until = op.bornUs + (long) Math.max(WAIT_SHARE * op.kind.is.targetUs(), 0.8 * spareUs);
             boolean fresh = first || flying >= most() && op.pushes.stream().noneMatch(Push::risky);
             if (fresh && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
