--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -390,7 +390,9 @@
         kind.answered(tookUs);
         learn(s, tookUs / kind.meanUs);
         s.fulls = 0;
-        slowed += 0.06 * (Math.min(5, tookUs / kind.calmUs) - slowed);
+        if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
+            slowed += 0.06 * (Math.min(5, tookUs / kind.calmUs) - slowed);
+        }
         heardUs = heardUs == 0 ? now : heardUs;
         calm.at(now / slotUs).now += kind.calmUs;
         answers.at(now / slotUs).now++;
