--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -219,6 +219,7 @@
     private final Window calm = new Window(); // calm time of the answers, by the mean target latency
     private final Window answers = new Window();
     private long heardUs; // first answer
+    private double roomy; // smoothed share of answers whose endpoint reports cores to spare
     private double slowed = 1; // smoothed latency over the calm one
 
     public Logic(long seed, String zone, int sidecars, List<Category> categories, List<Tenant> tenants,
@@ -330,6 +331,9 @@
             s.inFlight.pollFirst();
         }
         room = true;
+        if (load.waiting() >= 0 || load.busy() >= 0) { // no report, no claim of room
+            roomy += 0.06 * ((load.waiting() < 1 || load.busy() < 0.8 ? 1 : 0) - roomy);
+        }
         if (outcome == Outcome.ACKED) {
             acked(push, s, tookUs);
         } else if (outcome.failure) {
@@ -559,7 +563,7 @@
     private double most() {
         double mean = calm.at(now / slotUs).sum() / (slotUs + now % slotUs);
         double floor = heardUs == 0 || now - heardUs < slotUs ? firstLimit * in.size() : 1;
-        double most = Math.max(floor, QUEUE / slowed * mean + 2 * Math.sqrt(mean / sidecars) + 0.5);
+        double most = Math.max(floor, QUEUE * (1 + roomy) / slowed * mean + 2 * Math.sqrt(mean / sidecars) + 0.5);
         held = 1 + HELD * most / Math.max(1, in.size());
         return most + unbound;
     }
