--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -332,7 +332,8 @@
         }
         room = true;
         if (load.waiting() >= 0 || load.busy() >= 0) { // no report, no claim of room
-            roomy += 0.06 * ((load.waiting() < 1 || load.busy() < 0.8 ? 1 : 0) - roomy);
+            boolean free = load.waiting() < 1 || load.busy() < 0.8;
+            roomy += free ? 0.01 * (1 - roomy) : -0.05 * roomy; // late reports: a queue is believed sooner
         }
         if (outcome == Outcome.ACKED) {
             acked(push, s, tookUs);
