--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -332,8 +332,8 @@
         }
         room = true;
         if (load.waiting() >= 0 || load.busy() >= 0) { // no report, no claim of room
-            boolean free = load.waiting() < 1 || load.busy() < 0.8;
-            roomy += free ? 0.01 * (1 - roomy) : -0.05 * roomy; // late reports: a queue is believed sooner
+            boolean free = load.waiting() < 0.5 || load.busy() < 0.7;
+            roomy += free ? 0.01 * (1 - roomy) : -0.1 * roomy; // late reports: a queue is believed sooner
         }
         if (outcome == Outcome.ACKED) {
             acked(push, s, tookUs);
