--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -35,6 +35,7 @@
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 3; // times its part of the bound that one endpoint may hold
     private static final double QUEUE = 2; // times what is in flight without a queue, while answers are calm
+    private static final double ROOMY = 0.7; // cores less busy than this have room
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
@@ -219,7 +220,7 @@
     private final Window calm = new Window(); // calm time of the answers, by the mean target latency
     private final Window answers = new Window();
     private long heardUs; // first answer
-    private double roomy; // smoothed share of answers whose endpoint reports cores to spare
+    private double roomy; // how surely endpoints have cores to spare, by their reports
     private double slowed = 1; // smoothed latency over the calm one
 
     public Logic(long seed, String zone, int sidecars, List<Category> categories, List<Tenant> tenants,
@@ -331,9 +332,8 @@
             s.inFlight.pollFirst();
         }
         room = true;
-        if (load.waiting() >= 0 || load.busy() >= 0) { // no report, no claim of room
-            boolean free = load.waiting() < 0.5 || load.busy() < 0.7;
-            roomy += free ? 0.01 * (1 - roomy) : -0.1 * roomy; // late reports: a queue is believed sooner
+        if (load.busy() >= 0) { // reports are late: busy cores are believed sooner than idle ones
+            roomy += load.busy() < ROOMY ? 0.01 * (1 - roomy) : -0.1 * roomy;
         }
         if (outcome == Outcome.ACKED) {
             acked(push, s, tookUs);
