--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -174,8 +174,7 @@
         }
     }
 
-    private record Task(long dueUs, long order, Push push, Op op) {
-    }
+    private record Task(long dueUs, long order, Push push, Op op) { }
 
     // ---- For the instance
     private final Random random;
@@ -187,7 +186,6 @@
     private final long askWithinUs;
     private final long mostRetryAfterUs;
     private final double crossing;
-    private final double firstLimit;
     private final long slotUs; // the mean target latency
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Map<String, Tally> tenants = new HashMap<>();
@@ -229,7 +227,6 @@
         random = new Random(seed);
         this.zone = zone;
         this.sidecars = Math.max(1, sidecars);
-        firstLimit = Math.max(1, FIRST_LIMIT / this.sidecars);
         this.cold = cold;
         this.rule = rule;
         this.byWork = byWork;
@@ -314,9 +311,10 @@
     }
 
     /** A push has ended; {@code over} where the op is over with it or was before. */
-    public void ended(long nowUs, long id, int number, Outcome outcome, long tookUs, boolean over,
+    public void ended(long nowUs, long id, int number, Outcome outcome, long elapsedUs, boolean over,
             Load load) {
         now = nowUs;
+        long tookUs = Math.max(1, elapsedUs); // an answer within the clock's step is no division by zero
         Op op = ops.get(id);
         Push push = op == null || number >= op.pushes.size() ? null : op.pushes.get(number);
         if (push == null || push.end != null) {
@@ -401,12 +399,7 @@
         heardUs = heardUs == 0 ? now : heardUs;
         calm.at(now / slotUs).now += kind.calmUs;
         answers.at(now / slotUs).now++;
-        if (s.coldFromUs > 0) {
-            s.coldAnswers++;
-            if (now - s.coldFromUs > cold.warmUpUs()) {
-                s.coldFromUs = 0;
-            }
-        }
+        s.coldAnswers++;
         // An answer ends an ejection where it is the probation's, or where nothing but silence caused it: the
         // endpoint had paused, and is as sound as before.
         if (s.out && (s.probation == push || s.bySilence)) {
@@ -563,8 +556,10 @@
      */
     private double most() {
         double mean = calm.at(now / slotUs).sum() / (slotUs + now % slotUs);
-        double floor = heardUs == 0 || now - heardUs < slotUs ? firstLimit * in.size() : 1;
-        double most = Math.max(floor, QUEUE * (1 + roomy) / slowed * mean + 2 * Math.sqrt(mean / sidecars) + 0.5);
+        boolean starting = heardUs == 0 || now - heardUs < slotUs;
+        double floor = starting ? Math.max(1, FIRST_LIMIT / sidecars) * in.size() : 1;
+        double slack = 2 * Math.sqrt(mean / sidecars) + 0.5; // for chance, shared by the sidecars
+        double most = Math.max(floor, QUEUE * (1 + roomy) / slowed * mean + slack);
         held = 1 + HELD * most / Math.max(1, in.size());
         return most + unbound;
     }
@@ -749,14 +744,11 @@
 
     /** Our part of what a cold endpoint may be sent within a window; one op at a time until it answers. */
     private boolean coldRoom(Server s) {
-        if (s.coldFromUs == 0) {
-            return true;
-        }
-        double grown = Math.min(1, Math.max(0, (double) (now - s.coldFromUs) / cold.warmUpUs()));
-        if (grown >= 1) {
+        if (s.coldFromUs == 0 || now - s.coldFromUs >= cold.warmUpUs()) {
             s.coldFromUs = 0;
             return true;
         }
+        double grown = Math.max(0, (double) (now - s.coldFromUs) / cold.warmUpUs());
         double share = cold.startShare() + (1 - cold.startShare()) * grown;
         double usual = answered(cold.windowUs()) / Math.max(1, in.size());
         double budget = Math.max(1, COLD_PART * cold.multiple() * share * usual);
--- a/src/main/java/dillcross/simhost/Facts.java
+++ b/src/main/java/dillcross/simhost/Facts.java
@@ -47,7 +47,8 @@
         var pushes = new PushRule((int) number("limits.max_pushes", 1), flag("limits.may_duplicate", false),
                 flag("limits.cancel", false));
         return new Logic(seed, text("locality", ""), (int) number("balancers", 1), categories, tenants, cold, pushes,
-                text("benefit_basis", "request").equals("work"), text("discovery", "subscribe").equals("subscribe"), micros("rules.ask_within_ms", 5000),
+                text("benefit_basis", "request").equals("work"),
+                text("discovery", "subscribe").equals("subscribe"), micros("rules.ask_within_ms", 5000),
                 flag("limits.retry_after", false) ? micros("limits.max_retry_after_ms", 0) : 0,
                 number("prices.cross_zone", 0));
     }
