--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -100,10 +100,10 @@
             meanUs = is.targetUs() / 4.0; // until the first answer
         }
 
-        void answered(double us) {
+        void answered(double us, double rise) {
             answers++;
             meanUs += (us - meanUs) * Math.max(0.05, 1.0 / answers);
-            calmUs = answers < 10 || meanUs < calmUs ? meanUs : calmUs + 0.0001 * (meanUs - calmUs);
+            calmUs = answers < 10 || meanUs < calmUs ? meanUs : calmUs + rise * (meanUs - calmUs);
         }
     }
 
@@ -390,7 +390,8 @@
         s.lastAnswerUs = now;
         s.run = 0;
         s.failing *= 0.9;
-        kind.answered(tookUs);
+        // Hardly anything in flight and still slow: that is no queue of ours, and less load would not mend it.
+        kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.01 : 0.0001);
         learn(s, tookUs / kind.meanUs);
         s.fulls = 0;
         if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
