--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -102,7 +102,7 @@
 
         void answered(double us, double rise) {
             answers++;
-            meanUs += (us - meanUs) * Math.max(0.05, 1.0 / answers);
+            meanUs += (us - meanUs) * Math.max(0.02, 1.0 / answers);
             calmUs = answers < 10 || meanUs < calmUs ? meanUs : calmUs + rise * (meanUs - calmUs);
         }
     }
