--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -558,7 +558,7 @@
     private double most() {
         double mean = calm.at(now / slotUs).sum() / (slotUs + now % slotUs);
         boolean starting = heardUs == 0 || now - heardUs < slotUs;
-        double floor = starting ? Math.max(1, FIRST_LIMIT / sidecars) * in.size() : 1;
+        double floor = Math.max(1, starting ? FIRST_LIMIT * in.size() / sidecars : 1);
         double slack = 2 * Math.sqrt(mean / sidecars) + 0.5; // for chance, shared by the sidecars
         double most = Math.max(floor, QUEUE * (1 + roomy) / slowed * mean + slack);
         held = 1 + HELD * most / Math.max(1, in.size());
