--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -30,7 +30,7 @@
     private static final double SMOOTH = 0.15; // of a new latency in an endpoint's estimate
     private static final long FORGET_US = 10_000_000; // a slow endpoint without answers is tried again then
     private static final double OVERDUE = 8; // expected latencies after which a push counts as silence
-    private static final double CROSSING = 10; // what the price of crossing zones weighs in the pick
+    private static final double CROSSING = 20; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 3; // times its part of the bound that one endpoint may hold
