--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -33,7 +33,7 @@
     private static final double CROSSING = 20; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
-    private static final double HELD = 3; // times its part of the bound that one endpoint may hold
+    private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while answers are calm
     private static final double ROOMY = 0.7; // cores less busy than this have room
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
