--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -34,7 +34,7 @@
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
-    private static final double QUEUE = 2.25; // times what is in flight without a queue, while answers are calm
+    private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
     private static final double ROOMY = 0.7; // cores less busy than this have room
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
@@ -390,7 +390,7 @@
         s.lastAnswerUs = now;
         s.run = 0;
         s.failing *= 0.9;
-        // Hardly anything in flight and still slow: that is no queue of ours, and less load would not mend it.
+        // Hardly anything in flight and still slow: that is no queue of ours, less load would not mend it.
         kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.01 : 0.0001);
         learn(s, tookUs / kind.meanUs);
         s.fulls = 0;
@@ -559,7 +559,7 @@
         double mean = calm.at(now / slotUs).sum() / (slotUs + now % slotUs);
         boolean starting = heardUs == 0 || now - heardUs < slotUs;
         double floor = Math.max(1, starting ? FIRST_LIMIT * in.size() / sidecars : 1);
-        double slack = 2 * Math.sqrt(mean / sidecars) + 0.5; // for chance, shared by the sidecars
+        double slack = 2 * Math.sqrt(mean / sidecars) + 0.5; // for chance; shared, as many add up
         double most = Math.max(floor, QUEUE * (1 + roomy) / slowed * mean + slack);
         held = 1 + HELD * most / Math.max(1, in.size());
         return most + unbound;
--- a/src/main/java/dillcross/model/Category.java
+++ b/src/main/java/dillcross/model/Category.java
@@ -1,6 +1,8 @@
 package dillcross.model;
 
-/** One kind of op. Times in microseconds; {@code lateShare} of the benefit is paid between target latency and TTL. */
-public record Category(String name, Effect effect, Group group, long windowUs, long targetUs, long ttlUs,
-        double benefit, double lateShare, boolean streamed) {
+/**
+ * One kind of op. Repeats of a deduplicated one are recognised within {@code group} for {@code windowUs}; an answer
+ * within {@code targetUs} is worth {@code benefit}.
+ */
+public record Category(String name, Effect effect, Group group, long windowUs, long targetUs, double benefit) {
 }
--- a/src/main/java/dillcross/simhost/Facts.java
+++ b/src/main/java/dillcross/simhost/Facts.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** The path=value pairs an instance starts with; unknown paths are skipped, absent ones get a careful default. */
+/** The path=value pairs an instance starts with; unknown ones are skipped, absent ones get a careful default. */
 final class Facts {
     private final Map<String, String> values = new HashMap<>();
     private final Fields source;
@@ -34,8 +34,7 @@
             String at = "categories." + i + ".";
             categories.add(new Category(text(at + "name", "unnamed"), effect(text(at + "effect", "")),
                     group(text(at + "key_scope", "")), micros(at + "window_ms", 0),
-                    Math.max(1, micros(at + "target_latency_ms", 1000)), Math.max(1, micros(at + "ttl_ms", 1000)),
-                    number(at + "benefit", 1), number(at + "overdue_benefit", 0), flag(at + "stream", false)));
+                    Math.max(1, micros(at + "target_latency_ms", 1000)), number(at + "benefit", 1)));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < number("tenants.count", 0); i++) {
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -154,11 +154,11 @@
             String id = f.text();
             long started = f.micros(0);
             String health = f.text();
-            double size = f.real(1);
+            f.textOrNull();
             int cell = f.small();
             String zone = f.textOrNull();
             entries.add(new Endpoint(id, health.equals("up") ? Health.UP
-                    : health.equals("draining") ? Health.DRAINING : Health.GONE, started, size, cell,
+                    : health.equals("draining") ? Health.DRAINING : Health.GONE, started, cell,
                     zone == null ? "" : zone));
         }
         return entries;
@@ -181,8 +181,7 @@
 
     private static Load load(Fields f) {
         String pairs = f.more() ? f.textOrNull() : null;
-        return pairs == null ? Load.UNKNOWN
-                : new Load(value(pairs, "waiting:"), value(pairs, "active:"), value(pairs, "cpu:"));
+        return pairs == null ? Load.UNKNOWN : new Load(value(pairs, "cpu:"));
     }
 
     private static double value(String pairs, String name) {
@@ -208,7 +207,8 @@
                 broken.put(sidecar, described(e));
             }
         });
-        broken.forEach((sidecar, what) -> reply.append("bug ").append(sidecar).append(' ').append(what).append('\n'));
+        broken.forEach((sidecar, what) ->
+                reply.append("bug ").append(sidecar).append(' ').append(what).append('\n'));
         reply.append("next\n");
         out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
         out.flush();
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -53,7 +53,7 @@
     }
 
     private static Category category(String name, Effect effect, Group group) {
-        return new Category(name, effect, group, 1_000_000, 400_000, 2_000_000, 1, 0, false);
+        return new Category(name, effect, group, 1_000_000, 400_000, 1);
     }
 
     /** Endpoints as {@code id:health:cell:zone:startedMs}, all but the id optional. */
@@ -62,7 +62,7 @@
         for (String text : endpoints) {
             String[] p = text.split(":");
             entries.add(new Endpoint(p[0], p.length > 1 ? Health.valueOf(p[1]) : Health.UP,
-                    p.length > 4 ? Long.parseLong(p[4]) * 1000 : 0, 1, p.length > 2 ? Integer.parseInt(p[2]) : 1,
+                    p.length > 4 ? Long.parseLong(p[4]) * 1000 : 0, p.length > 2 ? Integer.parseInt(p[2]) : 1,
                     p.length > 3 ? p[3] : "east"));
         }
         logic.list(nowMs * 1000, whole, entries);
