--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -18,7 +18,7 @@
  * <li>Further pushes: second copies and retries on a budget that grows with first pushes.
  * <li>Admission: a bound on what is in flight, by Little's law; a short wait, then a nack.
  * <li>Part failures: a smoothed failure share ejects as a run does.
- * <li>Tenant fairness: under pressure, ops beyond a tenant's part of the traffic wait behind the others.
+ * <li>Fairness: ops wait by benefit, and by what their category and tenant got of what they may.
  * </ol>
  */
 public final class Logic {
