--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -35,7 +35,6 @@
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
-    private static final double ROOMY = 0.7; // cores less busy than this have room
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
@@ -218,7 +217,6 @@
     private final Window calm = new Window(); // calm time of the answers, by the mean target latency
     private final Window answers = new Window();
     private long heardUs; // first answer
-    private double roomy; // how surely endpoints have cores to spare, by their reports
     private double slowed = 1; // smoothed latency over the calm one
 
     public Logic(long seed, String zone, int sidecars, List<Category> categories, List<Tenant> tenants,
@@ -311,8 +309,7 @@
     }
 
     /** A push has ended; {@code over} where the op is over with it or was before. */
-    public void ended(long nowUs, long id, int number, Outcome outcome, long elapsedUs, boolean over,
-            Load load) {
+    public void ended(long nowUs, long id, int number, Outcome outcome, long elapsedUs, boolean over) {
         now = nowUs;
         long tookUs = Math.max(1, elapsedUs); // an answer within the clock's step is no division by zero
         Op op = ops.get(id);
@@ -330,9 +327,6 @@
             s.inFlight.pollFirst();
         }
         room = true;
-        if (load.busy() >= 0) { // reports are late: busy cores are believed sooner than idle ones
-            roomy += load.busy() < ROOMY ? 0.01 * (1 - roomy) : -0.1 * roomy;
-        }
         if (outcome == Outcome.ACKED) {
             acked(push, s, tookUs);
         } else if (outcome.failure) {
@@ -560,7 +554,7 @@
         boolean starting = heardUs == 0 || now - heardUs < slotUs;
         double floor = Math.max(1, starting ? FIRST_LIMIT * in.size() / sidecars : 1);
         double slack = 2 * Math.sqrt(mean / sidecars) + 0.5; // for chance; shared, as many add up
-        double most = Math.max(floor, QUEUE * (1 + roomy) / slowed * mean + slack);
+        double most = Math.max(floor, QUEUE / slowed * mean + slack);
         held = 1 + HELD * most / Math.max(1, in.size());
         return most + unbound;
     }
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -4,7 +4,6 @@
 import dillcross.model.Decision;
 import dillcross.model.Endpoint;
 import dillcross.model.Endpoint.Health;
-import dillcross.model.Load;
 import dillcross.model.Outcome;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -128,7 +127,7 @@
                 boolean over = f.flag();
                 long took = f.micros(0);
                 int push = f.small();
-                logic.ended(now, op, push, outcome, took, over, load(f));
+                logic.ended(now, op, push, outcome, took, over); // the load report is not used
             }
             case "opened" -> {
                 long op = f.whole(0);
@@ -179,24 +178,6 @@
         };
     }
 
-    private static Load load(Fields f) {
-        String pairs = f.more() ? f.textOrNull() : null;
-        return pairs == null ? Load.UNKNOWN : new Load(value(pairs, "cpu:"));
-    }
-
-    private static double value(String pairs, String name) {
-        int at = pairs.startsWith(name) ? 0 : pairs.indexOf("," + name) + 1;
-        if (at == 0 && !pairs.startsWith(name)) {
-            return Double.NaN;
-        }
-        int end = pairs.indexOf(',', at);
-        try {
-            return Double.parseDouble(pairs.substring(at + name.length(), end < 0 ? pairs.length() : end));
-        } catch (NumberFormatException e) {
-            return Double.NaN; // a report is only ever a hint
-        }
-    }
-
     private void answer() throws IOException {
         touched.forEach((sidecar, logic) -> {
             try {
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -7,7 +7,6 @@
 import dillcross.model.Endpoint;
 import dillcross.model.Endpoint.Health;
 import dillcross.model.Group;
-import dillcross.model.Load;
 import dillcross.model.Outcome;
 import dillcross.model.PushRule;
 import dillcross.model.Tenant;
@@ -93,7 +92,7 @@
             answers.putIfAbsent(push.op(), Decision.deadLetter(-1)); // stands for the ack
         }
         logic.ended(nowMs * 1000, push.op(), push.number(), outcome,
-                (nowMs - push.atMs()) * 1000, over, Load.UNKNOWN);
+                (nowMs - push.atMs()) * 1000, over);
         pull();
     }
 
