--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -696,8 +696,7 @@
                 op.tenant.got++;
             }
         }
-        long overdueUs = now + overdueAfter(push);
-        tasks.add(new Task(overdueUs, order++, push, null));
+        tasks.add(new Task(now + overdueAfter(push) / 2, order++, push, null));
         ready.add(Decision.push(op.id, s.is.id(), 0));
         return true;
     }
@@ -757,16 +756,20 @@
             return;
         }
         long after = overdueAfter(push);
-        if (push.to.lastAnswerUs <= Math.max(push.sentUs, now - after)) {
+        boolean silent = push.to.lastAnswerUs <= Math.max(push.sentUs, now - after);
+        // One silent endpoint must not use up the bound of a sidecar with little traffic.
+        if (silent && !push.unbound && unbound < 2 * servers.size()) {
+            push.unbound = true;
+            unbound++;
+        }
+        boolean late = now - push.sentUs >= after;
+        if (late && silent) {
             failed(push, push.to, false);
             push.silent = true;
-            // One silent endpoint must not use up the bound of a sidecar with little traffic
-            push.unbound = unbound < 2 * servers.size();
-            unbound += push.unbound ? 1 : 0;
         } else { // it answers others: look again, it may fall silent yet
-            tasks.add(new Task(now + after, order++, push, null));
+            tasks.add(new Task(now + after / 2, order++, push, null));
         }
-        boolean copy = !op.over && op.out == 1 && rule.copies() && spare >= 1 && flying < most();
+        boolean copy = late && !op.over && op.out == 1 && rule.copies() && spare >= 1 && flying < most();
         if (copy && push(op, pick(op), false)) {
             spare--;
         }
