--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -769,7 +769,7 @@
         } else { // it answers others: look again, it may fall silent yet
             tasks.add(new Task(now + after / 2, order++, push, null));
         }
-        boolean copy = late && !op.over && op.out == 1 && rule.copies() && spare >= 1 && flying < most();
+        boolean copy = late && !op.over && op.out == 1 && spare >= 1 && flying < most();
         if (copy && push(op, pick(op), false)) {
             spare--;
         }
--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -149,6 +149,20 @@
         assertEquals(1, s.pushes.get(op));
     }
 
+    /** The endpoints of a group remember a repeat for 1 s from its send. */
+    @ParameterizedTest
+    @CsvSource({"zone, 500, PUSH", "zone, 1100, DEAD_LETTER", "any, 1100, NACK", "read, 1100, PUSH"})
+    void repeatsStayWithinTheirWindow(String category, long afterMs, Decision.Kind then) {
+        Sidecar s = new Sidecar(new PushRule(4, false, true), false);
+        s.list(true, "a", "b");
+        long op = s.arrive(category);
+        s.pass(afterMs);
+        s.end(s.of(op), Outcome.ERROR);
+        Decision answer = s.answers.get(op);
+        assertEquals(then, answer == null ? Decision.Kind.PUSH : answer.kind());
+        assertEquals(then == Decision.Kind.PUSH ? 2 : 1, s.pushes.get(op));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"a:DRAINING", "a:GONE"})
     void drainsAreKept(String news) {
