--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -697,7 +697,10 @@
             }
         }
         tasks.add(new Task(now + overdueAfter(push) / 2, order++, push, null));
-        ready.add(Decision.push(op.id, s.is.id(), 0));
+        // Where no copy may go beside it, a silent endpoint would hold the op until its TTL.
+        boolean limit = !rule.copies() && op.kind.is.effect() == Effect.REDELIVERABLE
+                && op.pushes.size() < rule.most();
+        ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueAfter(push) : 0));
         return true;
     }
 
--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -149,6 +149,16 @@
         assertEquals(1, s.pushes.get(op));
     }
 
+    /** A push times out before the TTL only where no copy may go beside it and another push may follow. */
+    @ParameterizedTest
+    @CsvSource({"read, 4, false, true", "read, 4, true, false", "read, 1, false, false", "once, 4, false, false",
+        "zone, 4, false, false"})
+    void pushesTimeOutWhereNoCopyMayGo(String category, int most, boolean copies, boolean limited) {
+        Sidecar s = new Sidecar(new PushRule(most, copies, true), false);
+        s.list(true, "a", "b");
+        assertEquals(limited, s.of(s.arrive(category)).untilMs() > s.nowMs);
+    }
+
     /** The endpoints of a group remember a repeat for 1 s from its send. */
     @ParameterizedTest
     @CsvSource({"zone, 500, PUSH", "zone, 1100, DEAD_LETTER", "any, 1100, NACK", "read, 1100, PUSH"})
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -21,7 +21,7 @@
     static final PushRule PUSHES = new PushRule(4, true, true);
 
     /** A push that is out. */
-    record Sent(long op, int number, String endpoint, long atMs) {
+    record Sent(long op, int number, String endpoint, long atMs, long untilMs) {
     }
 
     final Logic logic;
@@ -134,7 +134,8 @@
             Decision d = next;
             switch (d.kind()) {
                 case PUSH -> {
-                    Sent push = new Sent(d.op(), pushes.merge(d.op(), 1, Integer::sum) - 1, d.endpoint(), nowMs);
+                    Sent push = new Sent(d.op(), pushes.merge(d.op(), 1, Integer::sum) - 1, d.endpoint(), nowMs,
+                            d.us() / 1000);
                     out.add(push);
                     sent.add(push);
                 }
--- a/src/test/java/dillcross/simhost/HostTest.java
+++ b/src/test/java/dillcross/simhost/HostTest.java
@@ -14,7 +14,7 @@
 
 class HostTest {
     private static final String OPEN = "open_instance 3 9 balancers=1 categories.count=1 categories.0.name=read"
-            + " categories.0.effect=idempotent categories.0.ttl_ms=900.0 discovery=automatic limits.max_pushes=3"
+            + " categories.0.effect=idempotent categories.0.ttl_ms=900.0 discovery=automatic limits.max_pushes=3 limits.may_duplicate=true"
             + " rules.unheard_of=1 locality=x\n";
     private static final String LIST = "snapshot_rows 0 1\nrow k h:1 - up 1 0 x\nendpoints 3 1 0 Persisted\n";
 
