--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -385,7 +385,7 @@
         s.run = 0;
         s.failing *= 0.9;
         // Hardly anything in flight and still slow: that is no queue of ours, less load would not mend it.
-        kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.01 : 0.0001);
+        kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.05 : 0.0001);
         learn(s, tookUs / kind.meanUs);
         s.fulls = 0;
         if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
