--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -57,7 +57,6 @@
             this.sentUs = sentUs;
         }
 
-        /** It may have run, or may still. */
         boolean risky() {
             return end == null || end.mayHaveRun;
         }
@@ -84,6 +83,11 @@
             this.endUs = endUs;
             this.order = order;
         }
+
+        /** It may have run, or may still. */
+        boolean risky() {
+            return pushes.stream().anyMatch(Push::risky);
+        }
     }
 
     /** A category and what has been seen of it. */
@@ -232,9 +236,7 @@
         this.mostRetryAfterUs = mostRetryAfterUs;
         crossing = 1 + CROSSING * crossingPrice;
         slotUs = (long) categories.stream().mapToLong(Category::targetUs).average().orElse(1_000_000);
-        for (Category c : categories) {
-            kinds.put(c.name(), new Kind(c));
-        }
+        categories.forEach(c -> kinds.put(c.name(), new Kind(c)));
         double quotas = tenants.stream().mapToDouble(Tenant::quotaPerS).sum();
         for (Tenant t : tenants) {
             if (t.quotaPerS() > 0) {
@@ -328,12 +330,12 @@
         }
         room = true;
         if (outcome == Outcome.ACKED) {
-            acked(push, s, tookUs);
+            acked(push, tookUs);
         } else if (outcome.failure) {
             if (tookUs > op.kind.meanUs * s.slowness) {
                 learn(s, tookUs / op.kind.meanUs);
             }
-            failed(push, s, push.silent);
+            failed(push);
         } else {
             if (outcome == Outcome.FULL) {
                 // Others push here too, or it hangs behind a full queue: stay away, longer each time.
@@ -379,7 +381,8 @@
 
     // ---- Bookkeeping of endpoints
 
-    private void acked(Push push, Server s, long tookUs) {
+    private void acked(Push push, long tookUs) {
+        Server s = push.to;
         Kind kind = push.op.kind;
         s.lastAnswerUs = now;
         s.run = 0;
@@ -415,16 +418,17 @@
     }
 
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
-    private void failed(Push push, Server s, boolean noted) {
+    private void failed(Push push) {
+        Server s = push.to;
         boolean silence = push.end == null;
-        if (!noted) {
+        if (!push.silent) {
             s.run++;
             s.failing += 0.1 * (1 - s.failing);
         }
         if (s.probation == push) {
             s.probation = null;
             eject(s, silence && s.bySilence);
-        } else if (!s.out && !noted && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT)) {
+        } else if (!s.out && !push.silent && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT)) {
             eject(s, silence);
         }
     }
@@ -535,11 +539,8 @@
         if (in.isEmpty()) {
             in.addAll(ejected); // the design: with every endpoint ejected, pick as if none were
         }
-        for (Server s : in) {
-            if (s.is.zone().equals(zone)) {
-                near.add(s);
-            }
-        }
+        near.addAll(in);
+        near.removeIf(s -> !s.is.zone().equals(zone));
         room = true;
     }
 
@@ -578,7 +579,7 @@
         } else {
             double spareUs = op.kind.is.targetUs() - 1.5 * op.kind.meanUs; // it may wait and be in time still
             long until = op.bornUs + (long) Math.max(WAIT_SHARE * op.kind.is.targetUs(), 0.8 * spareUs);
-            boolean fresh = first || flying >= most() && op.pushes.stream().noneMatch(Push::risky);
+            boolean fresh = first || flying >= most() && !op.risky();
             if (fresh && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
                 room = true;
@@ -604,10 +605,10 @@
     /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
     private void giveUp(Op op) {
         Category c = op.kind.is;
-        boolean mayNack = c.effect() == Effect.REDELIVERABLE || op.pushes.stream().noneMatch(Push::risky)
+        boolean mayNack = c.effect() == Effect.REDELIVERABLE || !op.risky()
                 || c.effect() == Effect.DEDUPLICATED && c.group() == Group.ALL;
         if (mayNack) {
-            long wait = (long) (op.kind.is.targetUs() * (0.25 + 0.25 * random.nextDouble()));
+            long wait = (long) (c.targetUs() * (0.25 + 0.25 * random.nextDouble()));
             ready.add(Decision.nack(op.id, Math.min(mostRetryAfterUs, wait)));
         } else {
             ready.add(Decision.deadLetter(op.id));
@@ -618,7 +619,7 @@
     // ---- The pick
 
     private Server pick(Op op) {
-        if (op.pushes.stream().anyMatch(Push::risky) && op.kind.is.effect() != Effect.REDELIVERABLE) {
+        if (op.risky() && op.kind.is.effect() != Effect.REDELIVERABLE) {
             return least(op); // few endpoints may take it: draws would miss them
         }
         Server here = near.isEmpty() ? null : better(op, draw(op, near), draw(op, near));
@@ -696,11 +697,12 @@
                 op.tenant.got++;
             }
         }
-        tasks.add(new Task(now + overdueAfter(push) / 2, order++, push, null));
+        long overdueUs = overdueAfter(push);
+        tasks.add(new Task(now + overdueUs / 2, order++, push, null));
         // Where no copy may go beside it, a silent endpoint would hold the op until its TTL.
         boolean limit = !rule.copies() && op.kind.is.effect() == Effect.REDELIVERABLE
                 && op.pushes.size() < rule.most();
-        ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueAfter(push) : 0));
+        ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueUs : 0));
         return true;
     }
 
@@ -723,8 +725,7 @@
         if (c.effect() == Effect.REDELIVERABLE) {
             return true;
         }
-        for (int i = 0; i < op.pushes.size(); i++) {
-            Push p = op.pushes.get(i);
+        for (Push p : op.pushes) {
             if (p.risky()) {
                 boolean known = switch (c.group()) {
                     case ALL -> true;
@@ -767,7 +768,7 @@
         }
         boolean late = now - push.sentUs >= after;
         if (late && silent) {
-            failed(push, push.to, false);
+            failed(push);
             push.silent = true;
         } else { // it answers others: look again, it may fall silent yet
             tasks.add(new Task(now + after / 2, order++, push, null));
--- a/src/main/java/dillcross/simhost/Facts.java
+++ b/src/main/java/dillcross/simhost/Facts.java
@@ -43,12 +43,12 @@
         }
         var cold = new ColdRule(number("rules.start_capacity", 0.1), micros("rules.warm_up_ms", 30_000),
                 number("rules.fall_multiple", 2), Math.max(1, micros("rules.fall_ms", 1000)));
-        var pushes = new PushRule((int) number("limits.max_pushes", 1), flag("limits.may_duplicate", false),
-                flag("limits.cancel", false));
+        var pushes = new PushRule((int) number("limits.max_pushes", 1), flag("limits.may_duplicate"),
+                flag("limits.cancel"));
         return new Logic(seed, text("locality", ""), (int) number("balancers", 1), categories, tenants, cold, pushes,
                 text("benefit_basis", "request").equals("work"),
                 text("discovery", "subscribe").equals("subscribe"), micros("rules.ask_within_ms", 5000),
-                flag("limits.retry_after", false) ? micros("limits.max_retry_after_ms", 0) : 0,
+                flag("limits.retry_after") ? micros("limits.max_retry_after_ms", 0) : 0,
                 number("prices.cross_zone", 0));
     }
 
@@ -74,8 +74,8 @@
         return value == null || value.isEmpty() || value.equals("-") ? ifAbsent : value;
     }
 
-    private boolean flag(String path, boolean ifAbsent) {
-        String value = text(path, ifAbsent ? "true" : "false");
+    private boolean flag(String path) {
+        String value = text(path, "false");
         return value.equals("true") || value.equals("1");
     }
 
--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -58,7 +58,7 @@
             s.pass(5);
             s.end(p, p.endpoint().equals("a") ? Outcome.ERROR : Outcome.ACKED);
             failures += p.endpoint().equals("a") ? 1 : 0;
-            List.copyOf(s.out).forEach(q -> s.end(q, Outcome.ACKED));
+            s.endAll(q -> true, Outcome.ACKED);
         }
         return s;
     }
@@ -73,9 +73,7 @@
         assertEquals("a", probe.endpoint());
         assertEquals(0, s.traffic(2, "a"), "one at a time");
         s.end(probe, outcome);
-        for (Sent p : List.copyOf(s.out)) {
-            s.end(p, Outcome.ACKED);
-        }
+        s.endAll(p -> true, Outcome.ACKED);
         assertEquals(back, s.traffic(60, "a") > 0); // 1.2 s
         s.pass(1300);
         assertTrue(s.traffic(60, "a") > 0, "the second penalty is twice the first, not more");
@@ -200,7 +198,7 @@
             s.arrive("read");
         }
         assertEquals(1, s.out.stream().filter(p -> p.endpoint().equals("new")).count());
-        s.out.stream().filter(p -> p.endpoint().equals("new")).toList().forEach(p -> s.end(p, Outcome.TIMED_OUT));
+        s.endAll(p -> p.endpoint().equals("new"), Outcome.TIMED_OUT);
         long sent = 0;
         for (Sent p : List.copyOf(s.out)) {
             s.end(p, Outcome.ACKED);
@@ -321,12 +319,10 @@
         for (int i = 0; i < 24; i++) {
             s.arrive("read");
             s.pass(5);
-            s.out.stream().filter(p -> p.endpoint().equals("b")).toList().forEach(p -> s.end(p, Outcome.ACKED));
+            s.endAll(p -> p.endpoint().equals("b"), Outcome.ACKED);
         }
         s.pass(200);
-        for (Sent p : List.copyOf(s.out)) {
-            s.end(p, Outcome.ACKED);
-        }
+        s.endAll(p -> true, Outcome.ACKED);
         s.pass(8000);
         assertTrue(s.traffic(100, "a") > 10);
     }
@@ -359,7 +355,7 @@
         for (int i = 0; i < 800; i++) {
             s.arrive("read");
             s.pass(5);
-            s.out.stream().filter(p -> p.atMs() <= s.nowMs - 400).toList().forEach(p -> s.end(p, Outcome.ACKED));
+            s.endAll(p -> p.atMs() <= s.nowMs - 400, Outcome.ACKED);
             out = i < 400 ? 0 : Math.max(out, s.out.size());
         }
         assertTrue(out < 40, "in flight " + out); // 80 and more without a bound
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /** One sidecar under test: keeps its clock in milliseconds, its wakes, and what it has out. */
 final class Sidecar {
@@ -84,18 +85,19 @@
     void end(Sent push, Outcome outcome) {
         out.remove(push);
         ends.put(push, outcome);
-        if (outcome == Outcome.CANCELLED && !answers.containsKey(push.op())) {
-            answers.put(push.op(), Decision.deadLetter(-1)); // the client has gone
-        }
-        boolean over = outcome == Outcome.ACKED || answers.containsKey(push.op());
-        if (outcome == Outcome.ACKED) {
-            answers.putIfAbsent(push.op(), Decision.deadLetter(-1)); // stands for the ack
+        if (outcome == Outcome.ACKED || outcome == Outcome.CANCELLED) {
+            answers.putIfAbsent(push.op(), Decision.deadLetter(-1)); // stands for the ack, or for a client gone
         }
         logic.ended(nowMs * 1000, push.op(), push.number(), outcome,
-                (nowMs - push.atMs()) * 1000, over);
+                (nowMs - push.atMs()) * 1000, answers.containsKey(push.op()));
         pull();
     }
 
+    /** Ends every such push that is out now. */
+    void endAll(Predicate<Sent> which, Outcome outcome) {
+        out.stream().filter(which).toList().forEach(p -> end(p, outcome));
+    }
+
     Sent of(long op) {
         return out.stream().filter(p -> p.op() == op).reduce((a, b) -> b).orElseThrow();
     }
@@ -110,7 +112,7 @@
             if (next > until) {
                 return;
             }
-            out.stream().filter(p -> due.get(p.op()) <= nowMs).toList().forEach(p -> end(p, Outcome.TIMED_OUT));
+            endAll(p -> due.get(p.op()) <= nowMs, Outcome.TIMED_OUT);
             wakes.removeIf(w -> w <= nowMs);
             logic.woken(nowMs * 1000);
             pull();
