Few endpoints used, location by location; cold pushes by lot; the bound on the mean in flight

Change: own location first, then the next, from a spot that differs by sidecar; draws go by listed size; a time-out or full raises the latency at once and it fades from the last end of a push; cold budget rounded by lot; fractional bound on the mean in flight, target latency as a second yardstick of slowness; an endpoint started long ago is never taken for cold.

--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -34,27 +34,29 @@
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
+    private static final double ANSWERS = 4; // in the span over which means are taken, at the least
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
+    private static final double CHANCE = 1; // roots of the bound by which a short burst may pass it
+    private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
     private static final double COLD_PART = 0.5; // of our part of a cold endpoint's budget
+    private static final double GOLDEN = (Math.sqrt(5) - 1) / 2; // its multiples lie evenly in [0, 1)
+    private static final int LEAST_USED = 3; // endpoints of a location that a sidecar uses at the least
+    private static final double USED = 0.25; // of them for each op a second, so that each is heard of in time
 
     // ---- For one push
-    private static final class Push {
+    private final class Push {
         final Op op;
-        final int number;
         final Server to;
-        final long sentUs;
+        final long sentUs = now;
         Outcome end; // null while out
-        boolean silent; // has been counted as a failure for its silence
-        boolean unbound; // and does not count in the bound any more
+        Silence silence = Silence.NONE;
 
-        Push(Op op, int number, Server to, long sentUs) {
+        Push(Op op, Server to) {
             this.op = op;
-            this.number = number;
             this.to = to;
-            this.sentUs = sentUs;
         }
 
         boolean risky() {
@@ -62,13 +64,16 @@
         }
     }
 
+    /** How long a push has been out while its endpoint answered nothing: how much of it that takes out. */
+    private enum Silence { NONE, OUT_OF_BOUND, FAILURE }
+
     // ---- For one op
-    private static final class Op {
+    private final class Op {
         final long id;
         final Kind kind;
-        final long bornUs;
+        final long bornUs = now;
         final long endUs;
-        final long order;
+        final long number = order++;
         double rank;
         Tally tenant; // null where it has no quota
         final List<Push> pushes = new ArrayList<>(2);
@@ -76,12 +81,10 @@
         boolean over;
         boolean begun; // its answer has begun to stream: it belongs to the client now
 
-        Op(long id, Kind kind, long bornUs, long endUs, long order) {
+        Op(long id, Kind kind, long ttlUs) {
             this.id = id;
             this.kind = kind;
-            this.bornUs = bornUs;
-            this.endUs = endUs;
-            this.order = order;
+            endUs = now + ttlUs;
         }
 
         /** It may have run, or may still. */
@@ -117,9 +120,11 @@
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave at the head
         int flying;
         double slowness = 1; // smoothed latency over the mean of the category
+        int heard; // latencies in it
         long holdUs; // it said full: nothing goes there until then
         int fulls; // in a row
         long lastAnswerUs;
+        long learnedUs; // when last a push ended
         int run; // failures in a row
         double failing; // smoothed share of failures
         boolean out; // ejected
@@ -129,7 +134,9 @@
         Push probation;
         long coldFromUs; // counts as started then; 0 where it is warm
         long coldAnswers;
-        final Window sent = new Window(); // pushes, by the cold rule's window
+        long window; // of the cold rule
+        int sent; // pushes in it
+        double lot; // redrawn for each such window: what the fraction of a push comes to
 
         Server(Endpoint is) {
             this.is = is;
@@ -157,23 +164,16 @@
         }
     }
 
-    /** A sum over the present slot of time and the one before. */
-    private static final class Window {
-        long slot;
-        double now;
-        double before;
-
-        Window at(long at) {
-            if (at != slot) {
-                before = at == slot + 1 ? now : 0;
-                now = 0;
-                slot = at;
-            }
-            return this;
-        }
+    /** A mean over time that fades, by the span that the instance keeps for all of them. */
+    private final class Mean {
+        double is;
+        long atUs;
 
-        double sum() {
-            return now + before;
+        /** Fades to now, with {@code level} held since the last call. */
+        double at(double level) {
+            is = level + (is - level) * Math.exp((atUs - now) / spanUs);
+            atUs = now;
+            return is;
         }
     }
 
@@ -195,15 +195,19 @@
     private double came; // all arrivals, fading
     private double due; // of them within the shares of their tenants
     private long fadedUs;
-    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final Map<String, Server> servers = new TreeMap<>( // a ring, the same at all sidecars
+            Comparator.<String>comparingLong(Logic::place).thenComparing(Comparator.naturalOrder()));
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
-    private final List<Server> near = new ArrayList<>(); // those of them in our own zone
+    private final List<Server> near = new ArrayList<>(); // those of them in our own zone that we use
+    private final List<Server> far = new ArrayList<>(); // and those of the next
+    private final double spot; // where on the ring we begin, of 1: even over the sidecars
+    private double want = LEAST_USED; // endpoints of a location that we use
     private final List<Server> ejected = new ArrayList<>();
     private final Map<Long, Op> ops = new HashMap<>();
     private final ArrayDeque<Op> todo = new ArrayDeque<>();
     private final ArrayDeque<Op> leftOver = new ArrayDeque<>(); // over, with pushes still out
     private final TreeSet<Op> waiting = new TreeSet<>((a, b) ->
-            a.rank != b.rank ? Double.compare(b.rank, a.rank) : Long.compare(a.order, b.order));
+            a.rank != b.rank ? Double.compare(b.rank, a.rank) : Long.compare(a.number, b.number));
     private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) ->
             a.dueUs != b.dueUs ? Long.compare(a.dueUs, b.dueUs) : Long.compare(a.order, b.order));
     private final ArrayDeque<Decision> ready = new ArrayDeque<>();
@@ -214,20 +218,23 @@
     private int listFailures;
     private boolean listChanged;
     private boolean room;
+    private double largest; // size that the list gives to an endpoint
     private double spare = SPARE_MOST / 2;
     private int flying;
     private int unbound; // of them
-    private double held = 1; // how much of that one endpoint may hold
-    private final Window calm = new Window(); // calm time of the answers, by the mean target latency
-    private final Window answers = new Window();
+    private final Mean calm = new Mean(); // calm time of the answers, a microsecond
+    private final Mean answers = new Mean(); // a microsecond
+    private final Mean load = new Mean(); // in flight, without the silent
+    private double spanUs; // over which these are taken
     private long heardUs; // first answer
     private double slowed = 1; // smoothed latency over the calm one
 
-    public Logic(long seed, String zone, int sidecars, List<Category> categories, List<Tenant> tenants,
-            ColdRule cold, PushRule rule, boolean byWork, boolean mustAsk, long askWithinUs,
-            long mostRetryAfterUs, double crossingPrice) {
+    public Logic(long seed, String zone, int me, int sidecars, List<Category> categories,
+            List<Tenant> tenants, ColdRule cold, PushRule rule, boolean byWork, boolean mustAsk,
+            long askWithinUs, long mostRetryAfterUs, double crossingPrice) {
         random = new Random(seed);
         this.zone = zone;
+        spot = me * GOLDEN % 1;
         this.sidecars = Math.max(1, sidecars);
         this.cold = cold;
         this.rule = rule;
@@ -236,13 +243,11 @@
         this.mostRetryAfterUs = mostRetryAfterUs;
         crossing = 1 + CROSSING * crossingPrice;
         slotUs = (long) categories.stream().mapToLong(Category::targetUs).average().orElse(1_000_000);
+        spanUs = slotUs;
         categories.forEach(c -> kinds.put(c.name(), new Kind(c)));
         double quotas = tenants.stream().mapToDouble(Tenant::quotaPerS).sum();
-        for (Tenant t : tenants) {
-            if (t.quotaPerS() > 0) {
-                this.tenants.put(t.name(), new Tally(t.quotaPerS() / quotas));
-            }
-        }
+        tenants.stream().filter(t -> t.quotaPerS() > 0)
+                .forEach(t -> this.tenants.put(t.name(), new Tally(t.quotaPerS() / quotas)));
         listenUs = mustAsk ? Long.MIN_VALUE : Long.MAX_VALUE;
     }
 
@@ -260,6 +265,7 @@
             Server s = servers.computeIfAbsent(e.id(), id -> new Server(e));
             if (e.startedUs() > s.is.startedUs() || s.is == e) { // a new process: nothing old holds
                 s.slowness = 1;
+                s.heard = 0;
                 chill(s, e.startedUs());
             }
             s.is = e;
@@ -280,7 +286,7 @@
     public void arrive(long nowUs, long id, String tenant, String category, long ttlUs, boolean repeat) {
         now = nowUs;
         Kind kind = kinds.get(category);
-        Op op = new Op(id, kind, now, now + ttlUs, order++);
+        Op op = new Op(id, kind, ttlUs);
         op.tenant = tenants.get(tenant);
         op.rank = rank(op) * (repeat ? 0.5 : 1);
         ops.put(id, op);
@@ -297,6 +303,14 @@
             due = tenants.isEmpty() ? came : 0;
             tenants.values().forEach(t -> due += Math.min(t.came, t.part * came));
             fadedUs = now;
+            spanUs = Math.max(slotUs, ANSWERS / Math.max(0.1, came) * FADE_US);
+            double perS = came * 1e6 / FADE_US;
+            double wish = perS > servers.size() * (want < servers.size() ? 1 : 0.7) ? servers.size() + 1
+                    : Math.max(LEAST_USED, USED * perS);
+            if (wish > 1.2 * want || wish < 0.6 * want) { // not for chance alone: moving loses evidence
+                want = wish;
+                listChanged = true;
+            }
         }
         came++;
         Kind kind = op.kind;
@@ -322,9 +336,11 @@
         push.end = outcome;
         op.out--;
         Server s = push.to;
+        load.at(flying - unbound);
         s.flying--;
+        s.learnedUs = now;
         flying--;
-        unbound -= push.unbound ? 1 : 0;
+        unbound -= push.silence == Silence.NONE ? 0 : 1;
         while (!s.inFlight.isEmpty() && s.inFlight.peekFirst().end != null) {
             s.inFlight.pollFirst();
         }
@@ -332,20 +348,18 @@
         if (outcome == Outcome.ACKED) {
             acked(push, tookUs);
         } else if (outcome.failure) {
-            if (tookUs > op.kind.meanUs * s.slowness) {
-                learn(s, tookUs / op.kind.meanUs);
-            }
+            // One time-out says as much as many slow answers; a sidecar with little traffic sees no more.
+            s.slowness = Math.max(s.slowness, Math.min(20, tookUs / op.kind.meanUs));
             failed(push);
         } else {
             if (outcome == Outcome.FULL) {
                 // Others push here too, or it hangs behind a full queue: stay away, longer each time.
                 double times = (0.5 + random.nextDouble()) * (1 << Math.min(s.fulls++, 6));
                 s.holdUs = now + (long) (op.kind.meanUs * times);
-            }
-            if (s.probation == push) {
-                s.probation = null; // it proved nothing: another may try after the hold
+                s.slowness = Math.max(s.slowness, OVERDUE); // its queue is full: as slow as can be
             }
         }
+        s.probation = s.probation == push ? null : s.probation; // another may try
         settle(op, over);
         if (!op.over && op.out == 0) {
             todo.add(op);
@@ -389,63 +403,53 @@
         s.failing *= 0.9;
         // Hardly anything in flight and still slow: that is no queue of ours, less load would not mend it.
         kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.05 : 0.0001);
-        learn(s, tookUs / kind.meanUs);
+        // The first few weigh more: a sidecar with little traffic would learn for long what is slow.
+        double weight = Math.max(SMOOTH, 1.0 / (2 + s.heard++));
+        s.slowness += weight * (Math.min(20, tookUs / kind.meanUs) - s.slowness);
         s.fulls = 0;
         if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
-            slowed += 0.06 * (Math.min(5, tookUs / kind.calmUs) - slowed);
+            double slow = Math.max(tookUs / kind.calmUs, 2.0 * tookUs / kind.is.targetUs());
+            slowed += Math.max(0.06, 1 / (4 + answered(1e6))) * (Math.min(5, slow) - slowed);
         }
         heardUs = heardUs == 0 ? now : heardUs;
-        calm.at(now / slotUs).now += kind.calmUs;
-        answers.at(now / slotUs).now++;
+        calm.is = calm.at(0) + kind.calmUs / spanUs;
+        answers.is = answers.at(0) + 1 / spanUs;
         s.coldAnswers++;
-        // An answer ends an ejection where it is the probation's, or where nothing but silence caused it: the
-        // endpoint had paused, and is as sound as before.
+        // An answer also ends an ejection that only silence caused: it had paused, and is as sound as before.
         if (s.out && (s.probation == push || s.bySilence)) {
             s.out = false;
             s.failing = SHARE_TO_EJECT / 2;
-            if (s.probation == push) {
-                chill(s, now);
-            }
             listChanged = true;
+            chill(s, s.probation == push ? now : s.coldFromUs);
         }
-        if (s.probation == push) {
-            s.probation = null;
-        }
-    }
-
-    private void learn(Server s, double slowness) {
-        s.slowness += SMOOTH * (Math.min(slowness, 20) - s.slowness);
     }
 
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
     private void failed(Push push) {
         Server s = push.to;
         boolean silence = push.end == null;
-        if (!push.silent) {
-            s.run++;
-            s.failing += 0.1 * (1 - s.failing);
-        }
-        if (s.probation == push) {
-            s.probation = null;
-            eject(s, silence && s.bySilence);
-        } else if (!s.out && !push.silent && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT)) {
-            eject(s, silence);
+        boolean counted = push.silence == Silence.FAILURE;
+        s.run += counted ? 0 : 1;
+        s.failing += counted ? 0 : 0.1 * (1 - s.failing);
+        boolean bad = !s.out && !counted && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT);
+        if (bad || s.probation == push) {
+            eject(s, silence && (bad || s.bySilence));
         }
     }
 
     private void eject(Server s, boolean bySilence) {
-        // The penalty doubles where the endpoint was out a short while ago: one that fails half its ops
-        // passes probation now and then.
+        // It doubles soon after the last, too: who fails half its ops passes probation now and then.
         boolean again = s.penaltyUs > 0 && now < s.untilUs + 2 * s.penaltyUs + FIRST_PENALTY_US;
         s.penaltyUs = again ? Math.min(LAST_PENALTY_US, 2 * s.penaltyUs) : FIRST_PENALTY_US;
         s.untilUs = now + (long) (s.penaltyUs * (1 - JITTER + 2 * JITTER * random.nextDouble()));
         s.bySilence = bySilence;
         s.out = true;
+        s.probation = null;
         listChanged = true;
     }
 
     private void chill(Server s, long fromUs) {
-        s.coldFromUs = now - fromUs > cold.warmUpUs() ? 0 : Math.max(1, fromUs);
+        s.coldFromUs = fromUs == 0 || now - fromUs > cold.warmUpUs() ? 0 : fromUs;
         s.coldAnswers = 0;
     }
 
@@ -477,15 +481,12 @@
             ready.add(Decision.listen());
         }
         for (Op op; (op = leftOver.poll()) != null;) {
-            for (Push p : op.pushes) {
-                if (p.end == null) {
-                    ready.add(Decision.cancel(op.id, p.number));
+            for (int i = 0; i < op.pushes.size(); i++) {
+                if (op.pushes.get(i).end == null) {
+                    ready.add(Decision.cancel(op.id, i));
                 }
             }
         }
-        if (listChanged) {
-            sort();
-        }
         for (Task t; (t = tasks.peek()) != null && t.dueUs <= now;) {
             tasks.poll();
             if (t.push != null) {
@@ -504,7 +505,7 @@
         }
         if (room) {
             room = false;
-            while (!waiting.isEmpty() && flying < most()) {
+            while (!waiting.isEmpty() && bound()) {
                 Op op = waiting.first();
                 if (push(op, pick(op), false)) {
                     waiting.remove(op);
@@ -528,41 +529,66 @@
 
     private void sort() {
         listChanged = false;
-        in.clear();
-        near.clear();
-        ejected.clear();
-        for (Server s : servers.values()) {
-            if (s.listed) {
-                (s.out ? ejected : in).add(s);
-            }
-        }
+        List.of(in, near, far, ejected).forEach(List::clear);
+        servers.values().removeIf(s -> !s.listed && s.flying == 0); // long gone: nothing is kept of it
+        List<Server> ring = servers.values().stream().filter(s -> s.listed).toList();
+        ring.forEach(s -> (s.out ? ejected : in).add(s));
         if (in.isEmpty()) {
             in.addAll(ejected); // the design: with every endpoint ejected, pick as if none were
         }
-        near.addAll(in);
-        near.removeIf(s -> !s.is.zone().equals(zone));
+        Map<String, List<Server>> zones = new HashMap<>();
+        ring.forEach(s -> zones.computeIfAbsent(s.is.zone(), z -> new ArrayList<>()).add(s));
+        use(zones.remove(zone), near);
+        for (int i = 0, from = (int) (spot * ring.size()); i < ring.size() && far.size() < want; i++) {
+            use(zones.remove(ring.get((from + i) % ring.size()).is.zone()), far);
+        }
+        largest = ring.stream().mapToDouble(s -> s.is.size()).max().orElse(1);
         room = true;
     }
 
     /**
-     * How much may be in flight over all endpoints. By Little's law the answers of a second times their
-     * calm latency is what would be in flight without a queue; a multiple of it bounds the queue. Where
-     * answers slow down the bound falls with them, round by round, until overdriven endpoints can rest;
-     * where they are calm it grows.
+     * Takes into use what we want of a location, from our own spot on its ring: sidecars differ, endpoints
+     * share alike, a change of the list moves few. Spread over all, a sidecar with little traffic would learn
+     * nothing of any. What is ejected or cold does not count, and when all that is used is full others help.
+     */
+    private void use(List<Server> location, List<Server> used) {
+        int warm = used.size();
+        for (int i = 0; location != null && i < location.size() && warm < want; i++) {
+            Server s = location.get(((int) (spot * location.size()) + i) % location.size());
+            if (!s.out || in.get(0).out) {
+                used.add(s);
+                warm += s.coldFromUs == 0 ? 1 : 0;
+            }
+        }
+    }
+
+    private static long place(String id) {
+        return id.chars().asLongStream().reduce(17, (h, c) -> (h ^ c) * 0x9E3779B97F4A7C15L);
+    }
+
+    /**
+     * How much may be in flight, in the mean. By Little's law the answers of a second times their calm
+     * latency is what would be in flight without a queue; a multiple bounds the queue. It falls as answers
+     * slow down, until overdriven endpoints can rest. It has no floor of an op: over a fleet floors add up.
      */
     private double most() {
-        double mean = calm.at(now / slotUs).sum() / (slotUs + now % slotUs);
-        boolean starting = heardUs == 0 || now - heardUs < slotUs;
-        double floor = Math.max(1, starting ? FIRST_LIMIT * in.size() / sidecars : 1);
-        double slack = 2 * Math.sqrt(mean / sidecars) + 0.5; // for chance; shared, as many add up
-        double most = Math.max(floor, QUEUE / slowed * mean + slack);
-        held = 1 + HELD * most / Math.max(1, in.size());
-        return most + unbound;
+        double known = heardUs == 0 ? 0 : 1 - Math.exp((heardUs - now) / spanUs);
+        double mean = calm.at(0) / Math.max(0.2, known);
+        return Math.max((known < 0.6 ? FIRST_LIMIT : 1) * in.size() / sidecars, QUEUE / slowed * mean);
+    }
+
+    /** There is room for one more; where few may be in flight their mean counts, or thin traffic starves. */
+    private boolean bound() {
+        double most = most();
+        double under = most - load.at(flying - unbound);
+        double slack = CHANCE * Math.sqrt(most);
+        double always = Math.min(slack, 0.5 * (most - FEW));
+        return flying - unbound < most + Math.max(Math.max(-slack, always), Math.min(slack, 2 * under));
     }
 
     /** Answers in so long a time, of late. */
     private double answered(double us) {
-        return answers.at(now / slotUs).sum() * us / (slotUs + now % slotUs);
+        return answers.at(0) * us;
     }
 
     private void place(Op op) {
@@ -574,12 +600,12 @@
         double price = first ? 0 : op.pushes.get(op.pushes.size() - 1).end.mayHaveRun ? 1 : 0.25;
         if (spare < price) {
             giveUp(op);
-        } else if (!(first && !waiting.isEmpty()) && flying < most() && push(op, pick(op), false)) {
+        } else if (!(first && !waiting.isEmpty()) && bound() && push(op, pick(op), false)) {
             spare -= price;
         } else {
             double spareUs = op.kind.is.targetUs() - 1.5 * op.kind.meanUs; // it may wait and be in time still
             long until = op.bornUs + (long) Math.max(WAIT_SHARE * op.kind.is.targetUs(), 0.8 * spareUs);
-            boolean fresh = first || flying >= most() && !op.risky();
+            boolean fresh = first || !bound() && !op.risky();
             if (fresh && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
                 room = true;
@@ -592,14 +618,9 @@
 
     /** Probation takes an op that can go elsewhere should it fail, one at a time for an endpoint. */
     private boolean onProbation(Op op) {
-        for (Server s : ejected) {
-            if (s.out && s.probation == null && now >= Math.max(s.untilUs, s.holdUs)
-                    && (op.kind.is.effect() == Effect.REDELIVERABLE || now > s.untilUs + s.penaltyUs)
-                    && push(op, s, true)) {
-                return true;
-            }
-        }
-        return false;
+        return ejected.stream().anyMatch(s -> s.out && s.probation == null
+                && now >= Math.max(s.untilUs, s.holdUs) && (op.kind.is.effect() == Effect.REDELIVERABLE
+                || now > s.untilUs + s.penaltyUs) && push(op, s, true));
     }
 
     /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
@@ -607,12 +628,8 @@
         Category c = op.kind.is;
         boolean mayNack = c.effect() == Effect.REDELIVERABLE || !op.risky()
                 || c.effect() == Effect.DEDUPLICATED && c.group() == Group.ALL;
-        if (mayNack) {
-            long wait = (long) (c.targetUs() * (0.25 + 0.25 * random.nextDouble()));
-            ready.add(Decision.nack(op.id, Math.min(mostRetryAfterUs, wait)));
-        } else {
-            ready.add(Decision.deadLetter(op.id));
-        }
+        long wait = Math.min(mostRetryAfterUs, (long) (c.targetUs() * (0.25 + 0.25 * random.nextDouble())));
+        ready.add(mayNack ? Decision.nack(op.id, wait) : Decision.deadLetter(op.id));
         settle(op, true);
     }
 
@@ -622,50 +639,39 @@
         if (op.risky() && op.kind.is.effect() != Effect.REDELIVERABLE) {
             return least(op); // few endpoints may take it: draws would miss them
         }
-        Server here = near.isEmpty() ? null : better(op, draw(op, near), draw(op, near));
-        Server best = here;
-        if (near.size() < in.size()) {
-            best = better(op, here, better(op, draw(op, in), draw(op, in)));
-        }
+        Server best = better(better(draw(op, near), draw(op, near)), better(draw(op, far), draw(op, far)));
         return best != null ? best : least(op);
     }
 
     private Server draw(Op op, List<Server> from) {
-        Server s = from.get(random.nextInt(from.size()));
-        return usable(op, s) ? s : null;
+        Server s = null;
+        for (int i = 0; i < 5 && !from.isEmpty(); i++) { // more often the larger: what we see tells it late
+            boolean other = s == null || random.nextDouble() * largest > s.is.size();
+            s = other ? from.get(random.nextInt(from.size())) : s;
+        }
+        return s != null && usable(op, s) ? s : null;
     }
 
-    private Server better(Op op, Server a, Server b) {
+    private Server better(Server a, Server b) {
         return a == null ? b : b == null || cost(a) <= cost(b) ? a : b;
     }
 
     private Server least(Op op) {
-        Server best = null;
-        for (Server s : in) {
-            if (usable(op, s)) {
-                best = better(op, best, s);
-            }
-        }
-        return best;
+        return in.stream().filter(s -> usable(op, s)).reduce(null, this::better);
     }
 
     private boolean usable(Op op, Server s) {
-        if (now < s.holdUs || s.flying >= held || !lawful(op, s)) {
+        if (now < s.holdUs || s.flying >= 1 + HELD * most() / (near.size() + far.size()) || !lawful(op, s)) {
             return false;
         }
-        for (int i = 0; i < op.pushes.size(); i++) {
-            if (op.pushes.get(i).to == s) {
-                return false;
-            }
-        }
-        return true;
+        return op.pushes.isEmpty() || op.pushes.stream().noneMatch(p -> p.to == s);
     }
 
     /** The design's smoothed latency x (own in flight + 1), with a price on leaving our zone. */
     private double cost(Server s) {
         double slow = s.slowness;
         if (slow > 1) { // an endpoint that lost every draw is tried again in time
-            slow = 1 + (slow - 1) * Math.max(0, 1 - (double) (now - s.lastAnswerUs) / FORGET_US);
+            slow = 1 + (slow - 1) * Math.max(0, 1 - (double) (now - s.learnedUs) / FORGET_US);
         }
         Push oldest = s.inFlight.peekFirst();
         if (oldest != null) { // silence: an old push says more than answers from before it
@@ -680,17 +686,19 @@
         if (s == null || !lawful(op, s)) {
             return false;
         }
-        Push push = new Push(op, op.pushes.size(), s, now);
+        boolean first = op.pushes.isEmpty();
+        Push push = new Push(op, s);
         op.pushes.add(push);
         op.out++;
         s.flying++;
+        load.at(flying - unbound);
         flying++;
         s.inFlight.addLast(push);
         if (probation) {
             s.probation = push;
         }
-        s.sent.at(now / cold.windowUs()).now++;
-        if (push.number == 0) {
+        s.sent++;
+        if (first) {
             spare = Math.min(SPARE_MOST, spare + SPARE_SHARE);
             op.kind.tally.got++;
             if (op.tenant != null) {
@@ -700,8 +708,8 @@
         long overdueUs = overdueAfter(push);
         tasks.add(new Task(now + overdueUs / 2, order++, push, null));
         // Where no copy may go beside it, a silent endpoint would hold the op until its TTL.
-        boolean limit = !rule.copies() && op.kind.is.effect() == Effect.REDELIVERABLE
-                && op.pushes.size() < rule.most();
+        boolean limit = !rule.copies() && op.pushes.size() < rule.most()
+                && op.kind.is.effect() == Effect.REDELIVERABLE;
         ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueUs : 0));
         return true;
     }
@@ -722,22 +730,10 @@
     /** No effect twice. */
     private boolean repeatable(Op op, Server s) {
         Category c = op.kind.is;
-        if (c.effect() == Effect.REDELIVERABLE) {
-            return true;
-        }
-        for (Push p : op.pushes) {
-            if (p.risky()) {
-                boolean known = switch (c.group()) {
-                    case ALL -> true;
-                    case ZONE -> p.to.is.zone().equals(s.is.zone());
-                    case CELL -> p.to.is.cell() == s.is.cell();
-                };
-                if (c.effect() == Effect.AT_MOST_ONCE || !known || now - p.sentUs > c.windowUs() * 0.9) {
-                    return false;
-                }
-            }
-        }
-        return true;
+        return c.effect() == Effect.REDELIVERABLE || op.pushes.stream().filter(Push::risky)
+                .allMatch(p -> c.effect() == Effect.DEDUPLICATED && now - p.sentUs <= c.windowUs() * 0.9
+                && (c.group() == Group.ALL || (c.group() == Group.ZONE ? p.to.is.zone().equals(s.is.zone())
+                : p.to.is.cell() == s.is.cell())));
     }
 
     /** Our part of what a cold endpoint may be sent within a window; one op at a time until it answers. */
@@ -748,32 +744,38 @@
         }
         double grown = Math.max(0, (double) (now - s.coldFromUs) / cold.warmUpUs());
         double share = cold.startShare() + (1 - cold.startShare()) * grown;
-        double usual = answered(cold.windowUs()) / Math.max(1, in.size());
-        double budget = Math.max(1, COLD_PART * cold.multiple() * share * usual);
-        return s.flying < 1 + s.coldAnswers && s.sent.at(now / cold.windowUs()).sum() < budget;
+        double usual = answered(cold.windowUs()) / Math.max(1, near.size() + far.size());
+        double budget = COLD_PART * cold.multiple() * share * Math.max(usual, FIRST_LIMIT / sidecars);
+        if (now / cold.windowUs() != s.window) {
+            s.window = now / cold.windowUs();
+            s.sent = 0;
+            s.lot = random.nextDouble(); // a floor of one push a sidecar would add up over hundreds of them
+        }
+        return s.flying < 1 + s.coldAnswers && s.sent + 1 <= budget + s.lot;
     }
 
     /** A push is out far longer than its kind takes: silence is evidence, and a copy may help. */
     private void overdue(Push push) {
         Op op = push.op;
-        if (push.end != null || push.silent || op.begun) {
+        if (push.end != null || push.silence == Silence.FAILURE || op.begun) {
             return;
         }
         long after = overdueAfter(push);
         boolean silent = push.to.lastAnswerUs <= Math.max(push.sentUs, now - after);
         // One silent endpoint must not use up the bound of a sidecar with little traffic.
-        if (silent && !push.unbound && unbound < 2 * servers.size()) {
-            push.unbound = true;
+        if (silent && push.silence == Silence.NONE && unbound < 2 * servers.size()) {
+            push.silence = Silence.OUT_OF_BOUND;
             unbound++;
         }
         boolean late = now - push.sentUs >= after;
         if (late && silent) {
             failed(push);
-            push.silent = true;
+            unbound += push.silence == Silence.NONE ? 1 : 0;
+            push.silence = Silence.FAILURE;
         } else { // it answers others: look again, it may fall silent yet
             tasks.add(new Task(now + after / 2, order++, push, null));
         }
-        boolean copy = late && !op.over && op.out == 1 && spare >= 1 && flying < most();
+        boolean copy = late && !op.over && op.out == 1 && spare >= 1 && bound();
         if (copy && push(op, pick(op), false)) {
             spare--;
         }
--- a/src/main/java/dillcross/model/Endpoint.java
+++ b/src/main/java/dillcross/model/Endpoint.java
@@ -1,7 +1,9 @@
 package dillcross.model;
 
-/** An endpoint as the list names it. {@code startedUs} is 0 for long ago. */
-public record Endpoint(String id, Health health, long startedUs, int cell, String zone) {
+/**
+ * An endpoint as the list names it. {@code startedUs} is 0 for long ago; {@code size} compares it with the others.
+ */
+public record Endpoint(String id, Health health, long startedUs, int cell, String zone, double size) {
     /** What the list knows of it. */
     public enum Health { UP, DRAINING, GONE }
 }
--- a/src/main/java/dillcross/simhost/Facts.java
+++ b/src/main/java/dillcross/simhost/Facts.java
@@ -45,7 +45,8 @@
                 number("rules.fall_multiple", 2), Math.max(1, micros("rules.fall_ms", 1000)));
         var pushes = new PushRule((int) number("limits.max_pushes", 1), flag("limits.may_duplicate"),
                 flag("limits.cancel"));
-        return new Logic(seed, text("locality", ""), (int) number("balancers", 1), categories, tenants, cold, pushes,
+        return new Logic(seed, text("locality", ""), (int) number("me", 0),
+                (int) number("balancers", 1), categories, tenants, cold, pushes,
                 text("benefit_basis", "request").equals("work"),
                 text("discovery", "subscribe").equals("subscribe"), micros("rules.ask_within_ms", 5000),
                 flag("limits.retry_after") ? micros("limits.max_retry_after_ms", 0) : 0,
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -153,12 +153,12 @@
             String id = f.text();
             long started = f.micros(0);
             String health = f.text();
-            f.textOrNull();
+            double size = f.real(1);
             int cell = f.small();
             String zone = f.textOrNull();
             entries.add(new Endpoint(id, health.equals("up") ? Health.UP
                     : health.equals("draining") ? Health.DRAINING : Health.GONE, started, cell,
-                    zone == null ? "" : zone));
+                    zone == null ? "" : zone, size > 0 ? size : 1));
         }
         return entries;
     }
--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -58,6 +58,7 @@
             s.pass(5);
             s.end(p, p.endpoint().equals("a") ? Outcome.ERROR : Outcome.ACKED);
             failures += p.endpoint().equals("a") ? 1 : 0;
+            s.pass(5);
             s.endAll(q -> true, Outcome.ACKED);
         }
         return s;
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -39,7 +39,7 @@
     private long lastOp = 100;
 
     Sidecar(PushRule rule, boolean mustAsk, Tenant... tenants) {
-        logic = new Logic(7, "east", 3, List.of(
+        logic = new Logic(7, "east", 0, 3, List.of(
                 category("read", Effect.REDELIVERABLE, Group.ALL), category("cell", Effect.DEDUPLICATED, Group.CELL),
                 category("zone", Effect.DEDUPLICATED, Group.ZONE), category("any", Effect.DEDUPLICATED, Group.ALL),
                 category("once", Effect.AT_MOST_ONCE, Group.ALL)), List.of(tenants), COLD, rule, false, mustAsk, 10_000_000,
@@ -63,7 +63,7 @@
             String[] p = text.split(":");
             entries.add(new Endpoint(p[0], p.length > 1 ? Health.valueOf(p[1]) : Health.UP,
                     p.length > 4 ? Long.parseLong(p[4]) * 1000 : 0, p.length > 2 ? Integer.parseInt(p[2]) : 1,
-                    p.length > 3 ? p[3] : "east"));
+                    p.length > 3 ? p[3] : "east", 1));
         }
         logic.list(nowMs * 1000, whole, entries);
         pull();
