--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -408,7 +408,8 @@
         s.slowness += weight * (Math.min(20, tookUs / kind.meanUs) - s.slowness);
         s.fulls = 0;
         if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
-            double slow = Math.max(tookUs / kind.calmUs, 2.0 * tookUs / kind.is.targetUs());
+            long target = kind.is.targetUs(); // a calm learned under load, or from few answers, is kept in its bounds
+            double slow = tookUs / Math.max(0.2 * target, Math.min(0.33 * target, kind.calmUs));
             slowed += Math.max(0.06, 1 / (4 + answered(1e6))) * (Math.min(5, slow) - slowed);
         }
         heardUs = heardUs == 0 ? now : heardUs;
