--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -408,9 +408,9 @@
         s.slowness += weight * (Math.min(20, tookUs / kind.meanUs) - s.slowness);
         s.fulls = 0;
         if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
-            long target = kind.is.targetUs(); // a calm learned under load, or from few answers, is kept in its bounds
+            long target = kind.is.targetUs(); // a calm learned under load or from little is kept in bounds
             double slow = tookUs / Math.max(0.2 * target, Math.min(0.33 * target, kind.calmUs));
-            slowed += Math.max(0.06, 1 / (4 + answered(1e6))) * (Math.min(5, slow) - slowed);
+            slowed += Math.max(0.06, 1 / (4 + answered(1e6))) * (Math.max(0.6, Math.min(5, slow)) - slowed);
         }
         heardUs = heardUs == 0 ? now : heardUs;
         calm.is = calm.at(0) + kind.calmUs / spanUs;
