--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -34,7 +34,7 @@
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
-    private static final double ANSWERS = 4; // in the span over which means are taken, at the least
+    private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
     private static final double CHANCE = 1; // roots of the bound by which a short burst may pass it
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
