--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -1,19 +1,12 @@
 package dillcross;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.*;
 
 import dillcross.Sidecar.Sent;
-import dillcross.model.Decision;
-import dillcross.model.Outcome;
-import dillcross.model.PushRule;
-import dillcross.model.Tenant;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
+import dillcross.model.*;
+import java.util.*;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -275,6 +268,148 @@
                 : p.endpoint().matches("[ab]") ? "east" : "west";
     }
 
+    // ---- A large fleet, of which each sidecar sees little
+
+    /** Endpoints e0, e1 ... spread over three zones, with what else each has. */
+    private static String[] fleet(int endpoints, String health) {
+        return IntStream.range(0, endpoints).mapToObj(i -> "e" + i + ":" + health + ":" + i / 4 + ":"
+                + List.of("east", "west", "north").get(i % 3)).toArray(String[]::new);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"90, 200", "60, 500", "20, 40"})
+    void sidecarsUseFewEndpointsAndShareThemAlike(int endpoints, int sidecars) {
+        Map<String, Integer> all = new HashMap<>();
+        for (int me = 0; me < sidecars; me++) {
+            Map<String, Integer> got = Sidecar.oneOf(sidecars, me, fleet(endpoints, "UP")).thin(24, 250);
+            assertTrue(got.size() <= 6, "used by one: " + got);
+            got.forEach((e, n) -> all.merge(e, n, Integer::sum));
+        }
+        double mean = 24.0 * sidecars / endpoints;
+        assertEquals(endpoints, all.size());
+        all.forEach((e, n) -> assertTrue(n > 0.5 * mean && n < 1.75 * mean, e + " got " + n + ", mean " + mean));
+    }
+
+    /** What a sidecar uses with its own zone as it is, then as told, then as before. */
+    @ParameterizedTest
+    @CsvSource({"DRAINING", "COLD"})
+    void useWidensToTheNextLocationAndNarrowsAgain(String trouble) {
+        String[] before = fleet(30, "UP");
+        Sidecar s = Sidecar.oneOf(100, 0, before);
+        Predicate<String> own = e -> Integer.parseInt(e.substring(1)) % 3 == 0;
+        s.thin(40, 250);
+        assertTrue(s.thin(40, 250).keySet().stream().filter(own.negate()).count() <= 1);
+        s.list(false, Arrays.stream(before).filter(e -> e.endsWith("east")).map(e -> trouble.equals("COLD")
+                ? e + ":" + s.nowMs : e.replace("UP", trouble)).toArray(String[]::new));
+        Map<String, Integer> got = s.thin(12, 250);
+        assertTrue(got.entrySet().stream().filter(e -> !own.test(e.getKey())).mapToInt(Map.Entry::getValue).sum() >= 6,
+                got.toString());
+        s.pass(9000);
+        s.list(true, before);
+        s.thin(60, 250);
+        assertTrue(s.thin(40, 250).keySet().stream().filter(own.negate()).count() <= 1);
+    }
+
+    @Test
+    void muchTrafficUsesAll() {
+        Sidecar s = Sidecar.oneOf(100, 0, fleet(12, "UP:1:east"));
+        assertEquals(12, s.thin(600, 25).size());
+    }
+
+    /** An endpoint that leaves moves no more than its own place and a neighbour's in what each sidecar uses. */
+    @Test
+    void aChangeOfTheListMovesFew() {
+        int moved = 0;
+        for (int me = 0; me < 60; me++) {
+            Sidecar s = Sidecar.oneOf(60, me, fleet(60, "UP"));
+            Set<String> before = s.thin(40, 250).keySet();
+            s.list(false, "e7:GONE");
+            Set<String> after = s.thin(40, 250).keySet();
+            moved += after.stream().filter(e -> !before.contains(e)).count();
+        }
+        assertTrue(moved <= 60, "moved " + moved + " of " + 60 * 3);
+    }
+
+    /** Floors of a push a sidecar add up: all together stay within the cold rule, and still warm the endpoint. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 300, 500})
+    void allSidecarsTogetherKeepTheColdRule(int sidecars) {
+        Map<Long, Integer> windows = new TreeMap<>();
+        int sent = 0;
+        for (int me = 0; me < sidecars; me++) {
+            Sidecar s = Sidecar.oneOf(sidecars, me, fleet(30, "UP"));
+            s.thin(20, 250);
+            long from = s.nowMs;
+            s.list(false, "new:UP:99:" + List.of("east", "west", "north").get(me % 3) + ":" + from);
+            s.thin(24, 250);
+            for (Sent p : s.sent) {
+                if (p.endpoint().equals("new")) {
+                    windows.merge((p.atMs() - from) / 1500, 1, Integer::sum);
+                    sent++;
+                }
+            }
+        }
+        double perWindow = 4.0 * sidecars / 31 * 1.5 * 3; // of a warm endpoint's usual part, times the multiple
+        windows.forEach((w, n) -> assertTrue(n <= perWindow * (0.3 + 0.7 * w * 1.5 / 8) + 3, windows + " of " + perWindow));
+        assertTrue(sent > 0);
+    }
+
+    /** Four ops a second at random are neither nacked nor kept from an idle fleet by the sidecar's own bound. */
+    @Test
+    void littleTrafficIsNotStarved() {
+        Sidecar s = Sidecar.oneOf(400, 5, fleet(30, "UP"));
+        Random random = new Random(3);
+        int ops = 0;
+        for (; ops < 300; ops++) {
+            s.arrive("read");
+            for (long left = (long) (-250 * Math.log(1 - random.nextDouble())); left >= 0; left -= 10) {
+                s.pass(Math.min(10, left));
+                s.endAll(p -> p.atMs() <= s.nowMs - 80, Outcome.ACKED);
+            }
+        }
+        long nacked = s.answers.values().stream().filter(d -> d.kind() == Decision.Kind.NACK).count();
+        assertTrue(nacked < 6, "nacked " + nacked);
+    }
+
+    /** What only turns away is let be for longer and longer: it never acks, and its latency must not be forgotten. */
+    @Test
+    void aJammedEndpointIsLetBe() {
+        Sidecar s = Sidecar.with("a", "b", "c");
+        s.thin(30, 250);
+        for (int i = 0; i < 240; i++) {
+            s.arrive("read");
+            s.pass(20);
+            s.endAll(p -> p.endpoint().equals("a"), Outcome.FULL);
+            s.pass(20);
+            s.endAll(p -> true, Outcome.ACKED);
+            s.pass(210);
+        }
+        long lost = s.sent.stream().filter(p -> p.endpoint().equals("a") && p.atMs() > s.nowMs - 30_000).count();
+        assertTrue(lost <= 8, "pushed to it in half a minute: " + lost);
+    }
+
+    /** Odd settings and lists: prompt, truthful answers and no exception. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, east", "-1, 7, ''", "1, 2000000000, nowhere", "500, 3, east"})
+    void oddFleetsAreServed(int sidecars, int me, String zone) {
+        Sidecar s = new Sidecar(Sidecar.PUSHES, false, zone, me, sidecars);
+        assertEquals(Decision.Kind.NACK, s.answers.get(s.arrive("once")).kind());
+        s.list(true, "a:UP:1:");
+        assertEquals(10, s.thin(10, 250).get("a"));
+        s.list(true);
+        assertEquals(Decision.Kind.NACK, s.answers.get(s.arrive("once")).kind());
+        s.list(true, "a:UP:1:", "b:UP:2:west");
+        assertEquals(10, s.thin(10, 250).values().stream().mapToInt(n -> n).sum());
+    }
+
+    @Test
+    void theSameSeedDecidesTheSame() {
+        List<List<Sent>> sent = IntStream.of(4, 4, 5).mapToObj(me -> Sidecar.oneOf(50, me, fleet(40, "UP")))
+                .map(s -> s.thin(50, 100).isEmpty() ? null : s.sent).toList();
+        assertEquals(sent.get(0), sent.get(1));
+        assertNotEquals(sent.get(0), sent.get(2));
+    }
+
     // ---- Troubles
 
     /** An endpoint that takes ops and answers none is out long before their TTL, and its ops get a second copy. */
@@ -349,7 +484,7 @@
     /** Answers that slow down twentyfold shrink what is in flight, however many endpoints there are. */
     @Test
     void inFlightFallsAsAnswersSlowDown() {
-        String[] many = java.util.stream.IntStream.range(0, 20).mapToObj(i -> "e" + i).toArray(String[]::new);
+        String[] many = IntStream.range(0, 20).mapToObj(i -> "e" + i).toArray(String[]::new);
         Sidecar s = Sidecar.with(many);
         s.traffic(200, "e0");
         int out = 0;
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -1,19 +1,8 @@
 package dillcross;
 
-import dillcross.model.Category;
-import dillcross.model.ColdRule;
-import dillcross.model.Decision;
-import dillcross.model.Effect;
-import dillcross.model.Endpoint;
+import dillcross.model.*;
 import dillcross.model.Endpoint.Health;
-import dillcross.model.Group;
-import dillcross.model.Outcome;
-import dillcross.model.PushRule;
-import dillcross.model.Tenant;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
+import java.util.*;
 import java.util.function.Predicate;
 
 /** One sidecar under test: keeps its clock in milliseconds, its wakes, and what it has out. */
@@ -39,13 +28,24 @@
     private long lastOp = 100;
 
     Sidecar(PushRule rule, boolean mustAsk, Tenant... tenants) {
-        logic = new Logic(7, "east", 0, 3, List.of(
+        this(rule, mustAsk, "east", 0, 3, tenants);
+    }
+
+    Sidecar(PushRule rule, boolean mustAsk, String zone, int me, int sidecars, Tenant... tenants) {
+        logic = new Logic(7 + me, zone, me, sidecars, List.of(
                 category("read", Effect.REDELIVERABLE, Group.ALL), category("cell", Effect.DEDUPLICATED, Group.CELL),
                 category("zone", Effect.DEDUPLICATED, Group.ZONE), category("any", Effect.DEDUPLICATED, Group.ALL),
                 category("once", Effect.AT_MOST_ONCE, Group.ALL)), List.of(tenants), COLD, rule, false, mustAsk, 10_000_000,
                 1_000_000, 0.03);
     }
 
+    /** One of many in a large fleet, its zone one of three. */
+    static Sidecar oneOf(int sidecars, int me, String... endpoints) {
+        Sidecar s = new Sidecar(PUSHES, false, List.of("east", "west", "north").get(me % 3), me, sidecars);
+        s.list(true, endpoints);
+        return s;
+    }
+
     static Sidecar with(String... endpoints) {
         Sidecar s = new Sidecar(PUSHES, false);
         s.list(true, endpoints);
@@ -119,6 +119,21 @@
         }
     }
 
+    /** One op every so often, each answered 20 ms later; the endpoints that got one, with how many. */
+    Map<String, Integer> thin(int ops, long everyMs) {
+        Map<String, Integer> got = new HashMap<>();
+        for (int i = 0; i < ops; i++) {
+            arrive("read");
+            pass(20);
+            for (Sent p : List.copyOf(out)) {
+                got.merge(p.endpoint(), 1, Integer::sum);
+                end(p, Outcome.ACKED);
+            }
+            pass(everyMs - 20);
+        }
+        return got;
+    }
+
     /** Sends ops that are each answered after a while; returns how many pushes the endpoint got. */
     long traffic(int ops, String endpoint) {
         int from = sent.size();
