A fresh endpoint's latency starts at its machine kind's mean; draws go by it too

Cause: at the start and after every deploy a sidecar with little traffic knows nothing of an endpoint, but has met its kind.

Silent pushes that leave the bound: two for each endpoint in use, not for each listed (hundreds at full size).

--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -36,7 +36,6 @@
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
-    private static final double CHANCE = 1; // roots of the bound by which a short burst may pass it
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
@@ -119,6 +118,7 @@
         boolean listed;
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave at the head
         int flying;
+        double[] pace; // of its machine kind
         double slowness = 1; // smoothed latency over the mean of the category
         int heard; // latencies in it
         long holdUs; // it said full: nothing goes there until then
@@ -197,6 +197,7 @@
     private long fadedUs;
     private final Map<String, Server> servers = new TreeMap<>( // a ring, the same at all sidecars
             Comparator.<String>comparingLong(Logic::place).thenComparing(Comparator.naturalOrder()));
+    private final Map<String, double[]> paces = new HashMap<>(); // slowness of a machine kind, from all of it
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
     private final List<Server> near = new ArrayList<>(); // those of them in our own zone that we use
     private final List<Server> far = new ArrayList<>(); // and those of the next
@@ -234,7 +235,7 @@
             long askWithinUs, long mostRetryAfterUs, double crossingPrice) {
         random = new Random(seed);
         this.zone = zone;
-        spot = me * GOLDEN % 1;
+        spot = Math.abs(me * GOLDEN) % 1;
         this.sidecars = Math.max(1, sidecars);
         this.cold = cold;
         this.rule = rule;
@@ -264,7 +265,8 @@
         for (Endpoint e : entries) {
             Server s = servers.computeIfAbsent(e.id(), id -> new Server(e));
             if (e.startedUs() > s.is.startedUs() || s.is == e) { // a new process: nothing old holds
-                s.slowness = 1;
+                s.pace = paces.computeIfAbsent(e.machine(), m -> new double[] {1});
+                s.slowness = s.pace[0];
                 s.heard = 0;
                 chill(s, e.startedUs());
             }
@@ -313,10 +315,10 @@
             }
         }
         came++;
-        Kind kind = op.kind;
-        kind.tally.came++;
+        op.kind.tally.came++;
         // The root of the benefit for the work: the best is served first, and no category starves for it.
-        double rank = Math.sqrt(kind.is.benefit() / (byWork ? 1 : kind.calmUs + 1)) * kind.tally.need(came);
+        double rank = Math.sqrt(op.kind.is.benefit() / (byWork ? 1 : op.kind.calmUs + 1))
+                * op.kind.tally.need(came);
         if (op.tenant != null) {
             op.tenant.came++;
             rank *= op.tenant.need(due); // a burst must not raise the share that it is held to
@@ -405,12 +407,14 @@
         kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.05 : 0.0001);
         // The first few weigh more: a sidecar with little traffic would learn for long what is slow.
         double weight = Math.max(SMOOTH, 1.0 / (2 + s.heard++));
+        s.pace[0] += 0.05 * (Math.min(5, tookUs / kind.meanUs) - s.pace[0]);
         s.slowness += weight * (Math.min(20, tookUs / kind.meanUs) - s.slowness);
         s.fulls = 0;
         if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
             long target = kind.is.targetUs(); // a calm learned under load or from little is kept in bounds
             double slow = tookUs / Math.max(0.2 * target, Math.min(0.33 * target, kind.calmUs));
-            slowed += Math.max(0.06, 1 / (4 + answered(1e6))) * (Math.max(0.6, Math.min(5, slow)) - slowed);
+            double part = Math.max(0.06, 1 / (4 + 1e6 * answers.at(0)));
+            slowed += part * (Math.max(0.6, Math.min(5, slow)) - slowed);
         }
         heardUs = heardUs == 0 ? now : heardUs;
         calm.is = calm.at(0) + kind.calmUs / spanUs;
@@ -518,7 +522,7 @@
             }
         }
         // More wait than can be answered in the time that they may wait: the least of them is told at once.
-        while (waiting.size() > 1 + answered(WAIT_SHARE * slotUs)) {
+        while (waiting.size() > 1 + answers.at(0) * WAIT_SHARE * slotUs) {
             giveUp(waiting.last());
         }
         long due = Math.min(listenUs, tasks.isEmpty() ? Long.MAX_VALUE : tasks.peek().dueUs);
@@ -543,7 +547,7 @@
         for (int i = 0, from = (int) (spot * ring.size()); i < ring.size() && far.size() < want; i++) {
             use(zones.remove(ring.get((from + i) % ring.size()).is.zone()), far);
         }
-        largest = ring.stream().mapToDouble(s -> s.is.size()).max().orElse(1);
+        largest = ring.stream().mapToDouble(s -> s.is.size() / s.pace[0]).max().orElse(1);
         room = true;
     }
 
@@ -582,15 +586,11 @@
     private boolean bound() {
         double most = most();
         double under = most - load.at(flying - unbound);
-        double slack = CHANCE * Math.sqrt(most);
+        double slack = Math.sqrt(most); // by which a short burst may pass it
         double always = Math.min(slack, 0.5 * (most - FEW));
         return flying - unbound < most + Math.max(Math.max(-slack, always), Math.min(slack, 2 * under));
     }
 
-    /** Answers in so long a time, of late. */
-    private double answered(double us) {
-        return answers.at(0) * us;
-    }
 
     private void place(Op op) {
         boolean first = op.pushes.isEmpty();
@@ -606,8 +606,7 @@
         } else {
             double spareUs = op.kind.is.targetUs() - 1.5 * op.kind.meanUs; // it may wait and be in time still
             long until = op.bornUs + (long) Math.max(WAIT_SHARE * op.kind.is.targetUs(), 0.8 * spareUs);
-            boolean fresh = first || !bound() && !op.risky();
-            if (fresh && !in.isEmpty() && until > now && until < op.endUs) {
+            if ((first || !bound() && !op.risky()) && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
                 room = true;
                 tasks.add(new Task(until, order++, null, op));
@@ -647,7 +646,7 @@
     private Server draw(Op op, List<Server> from) {
         Server s = null;
         for (int i = 0; i < 5 && !from.isEmpty(); i++) { // more often the larger: what we see tells it late
-            boolean other = s == null || random.nextDouble() * largest > s.is.size();
+            boolean other = s == null || random.nextDouble() * largest > s.is.size() / s.pace[0];
             s = other ? from.get(random.nextInt(from.size())) : s;
         }
         return s != null && usable(op, s) ? s : null;
@@ -745,7 +744,7 @@
         }
         double grown = Math.max(0, (double) (now - s.coldFromUs) / cold.warmUpUs());
         double share = cold.startShare() + (1 - cold.startShare()) * grown;
-        double usual = answered(cold.windowUs()) / Math.max(1, near.size() + far.size());
+        double usual = answers.at(0) * cold.windowUs() / Math.max(1, near.size() + far.size());
         double budget = COLD_PART * cold.multiple() * share * Math.max(usual, FIRST_LIMIT / sidecars);
         if (now / cold.windowUs() != s.window) {
             s.window = now / cold.windowUs();
@@ -763,21 +762,20 @@
         }
         long after = overdueAfter(push);
         boolean silent = push.to.lastAnswerUs <= Math.max(push.sentUs, now - after);
-        // One silent endpoint must not use up the bound of a sidecar with little traffic.
-        if (silent && push.silence == Silence.NONE && unbound < 2 * servers.size()) {
-            push.silence = Silence.OUT_OF_BOUND;
-            unbound++;
-        }
         boolean late = now - push.sentUs >= after;
+        // One silent endpoint must not use up the bound where traffic is thin, nor a silent fleet void it.
+        boolean frees = push.silence == Silence.NONE && (late || unbound < 2 * (near.size() + far.size()));
+        if (silent) {
+            unbound += frees ? 1 : 0;
+            push.silence = frees ? Silence.OUT_OF_BOUND : push.silence;
+        }
         if (late && silent) {
             failed(push);
-            unbound += push.silence == Silence.NONE ? 1 : 0;
             push.silence = Silence.FAILURE;
         } else { // it answers others: look again, it may fall silent yet
             tasks.add(new Task(now + after / 2, order++, push, null));
         }
-        boolean copy = late && !op.over && op.out == 1 && spare >= 1 && bound();
-        if (copy && push(op, pick(op), false)) {
+        if (late && !op.over && op.out == 1 && spare >= 1 && bound() && push(op, pick(op), false)) {
             spare--;
         }
     }
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -149,7 +149,7 @@
             if (line == null || !f.text().equals("row")) {
                 throw f.malformed("a row of the list is missing", null);
             }
-            f.textOrNull();
+            String machine = f.textOrNull();
             String id = f.text();
             long started = f.micros(0);
             String health = f.text();
@@ -158,7 +158,7 @@
             String zone = f.textOrNull();
             entries.add(new Endpoint(id, health.equals("up") ? Health.UP
                     : health.equals("draining") ? Health.DRAINING : Health.GONE, started, cell,
-                    zone == null ? "" : zone, size > 0 ? size : 1));
+                    zone == null ? "" : zone, machine == null ? "" : machine, size > 0 ? size : 1));
         }
         return entries;
     }
