--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -41,7 +41,6 @@
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
     private static final double COLD_PART = 0.5; // of our part of a cold endpoint's budget
-    private static final double GOLDEN = (Math.sqrt(5) - 1) / 2; // its multiples lie evenly in [0, 1)
     private static final int LEAST_USED = 3; // endpoints of a location that a sidecar uses at the least
     private static final double USED = 0.25; // of them for each op a second, so that each is heard of in time
 
@@ -51,7 +50,7 @@
         final Server to;
         final long sentUs = now;
         Outcome end; // null while out
-        Silence silence = Silence.NONE;
+        boolean silent; // counted as a failure for it already, and no more in the bound
 
         Push(Op op, Server to) {
             this.op = op;
@@ -63,8 +62,6 @@
         }
     }
 
-    /** How long a push has been out while its endpoint answered nothing: how much of it that takes out. */
-    private enum Silence { NONE, OUT_OF_BOUND, FAILURE }
 
     // ---- For one op
     private final class Op {
@@ -222,10 +219,10 @@
     private double largest; // size that the list gives to an endpoint
     private double spare = SPARE_MOST / 2;
     private int flying;
-    private int unbound; // of them
+    private int silent; // of them
     private final Mean calm = new Mean(); // calm time of the answers, a microsecond
     private final Mean answers = new Mean(); // a microsecond
-    private final Mean load = new Mean(); // in flight, without the silent
+    private final Mean load = new Mean(); // in flight
     private double spanUs; // over which these are taken
     private long heardUs; // first answer
     private double slowed = 1; // smoothed latency over the calm one
@@ -235,7 +232,7 @@
             long askWithinUs, long mostRetryAfterUs, double crossingPrice) {
         random = new Random(seed);
         this.zone = zone;
-        spot = Math.abs(me * GOLDEN) % 1;
+        spot = Math.abs(me * (Math.sqrt(5) - 1) / 2) % 1; // multiples of the golden ratio lie evenly
         this.sidecars = Math.max(1, sidecars);
         this.cold = cold;
         this.rule = rule;
@@ -278,8 +275,7 @@
     /** A call to the list failed, or its subscription broke. */
     public void listFailed(long nowUs) {
         now = nowUs;
-        // A list that is out of reach for all must not be called by all at once: the wait grows, with jitter,
-        // and stays within the time after which silence would count as being told.
+        // All must not call an unreachable list at once: waits grow, jittered, within the time we may be deaf.
         long wait = Math.min(askWithinUs / 3, 500_000L << Math.min(listFailures++, 3));
         listenUs = now + (long) (wait * (0.5 + random.nextDouble()));
     }
@@ -338,11 +334,11 @@
         push.end = outcome;
         op.out--;
         Server s = push.to;
-        load.at(flying - unbound);
+        load.at(loud());
+        silent -= push.silent ? 1 : 0;
         s.flying--;
         s.learnedUs = now;
         flying--;
-        unbound -= push.silence == Silence.NONE ? 0 : 1;
         while (!s.inFlight.isEmpty() && s.inFlight.peekFirst().end != null) {
             s.inFlight.pollFirst();
         }
@@ -353,6 +349,9 @@
             // One time-out says as much as many slow answers; a sidecar with little traffic sees no more.
             s.slowness = Math.max(s.slowness, Math.min(20, tookUs / op.kind.meanUs));
             failed(push);
+            if (outcome == Outcome.TIMED_OUT && !s.out) {
+                slow(push, tookUs); // a jam acks nothing, and must close the bound all the same
+            }
         } else {
             if (outcome == Outcome.FULL) {
                 // Others push here too, or it hangs behind a full queue: stay away, longer each time.
@@ -410,12 +409,7 @@
         s.pace[0] += 0.05 * (Math.min(5, tookUs / kind.meanUs) - s.pace[0]);
         s.slowness += weight * (Math.min(20, tookUs / kind.meanUs) - s.slowness);
         s.fulls = 0;
-        if (s.coldFromUs == 0) { // a cold endpoint is slow without a queue
-            long target = kind.is.targetUs(); // a calm learned under load or from little is kept in bounds
-            double slow = tookUs / Math.max(0.2 * target, Math.min(0.33 * target, kind.calmUs));
-            double part = Math.max(0.06, 1 / (4 + 1e6 * answers.at(0)));
-            slowed += part * (Math.max(0.6, Math.min(5, slow)) - slowed);
-        }
+        slow(push, tookUs);
         heardUs = heardUs == 0 ? now : heardUs;
         calm.is = calm.at(0) + kind.calmUs / spanUs;
         answers.is = answers.at(0) + 1 / spanUs;
@@ -429,11 +423,21 @@
         }
     }
 
+    /** Weighs how slow it was, for the bound; a calm learned under load or from little is kept in bounds. */
+    private void slow(Push push, long tookUs) {
+        if (push.to.coldFromUs == 0) { // a cold endpoint is slow without a queue
+            long target = push.op.kind.is.targetUs();
+            double slow = tookUs / Math.max(0.2 * target, Math.min(0.33 * target, push.op.kind.calmUs));
+            double part = Math.max(0.06, 1 / (4 + 1e6 * answers.at(0)));
+            slowed += part * (Math.max(0.6, Math.min(5, slow)) - slowed);
+        }
+    }
+
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
     private void failed(Push push) {
         Server s = push.to;
         boolean silence = push.end == null;
-        boolean counted = push.silence == Silence.FAILURE;
+        boolean counted = push.silent;
         s.run += counted ? 0 : 1;
         s.failing += counted ? 0 : 0.1 * (1 - s.failing);
         boolean bad = !s.out && !counted && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT);
@@ -582,13 +586,18 @@
         return Math.max((known < 0.6 ? FIRST_LIMIT : 1) * in.size() / sidecars, QUEUE / slowed * mean);
     }
 
+    /** In flight and not silent; two an endpoint may be, so that a silent fleet stays bounded. */
+    private int loud() {
+        return flying - Math.min(silent, 2 * servers.size());
+    }
+
     /** There is room for one more; where few may be in flight their mean counts, or thin traffic starves. */
     private boolean bound() {
         double most = most();
-        double under = most - load.at(flying - unbound);
+        double under = most - load.at(loud());
         double slack = Math.sqrt(most); // by which a short burst may pass it
         double always = Math.min(slack, 0.5 * (most - FEW));
-        return flying - unbound < most + Math.max(Math.max(-slack, always), Math.min(slack, 2 * under));
+        return loud() < most + Math.max(Math.max(-slack, always), Math.min(slack, 2 * under));
     }
 
 
@@ -691,7 +700,7 @@
         op.pushes.add(push);
         op.out++;
         s.flying++;
-        load.at(flying - unbound);
+        load.at(loud());
         flying++;
         s.inFlight.addLast(push);
         if (probation) {
@@ -757,21 +766,16 @@
     /** A push is out far longer than its kind takes: silence is evidence, and a copy may help. */
     private void overdue(Push push) {
         Op op = push.op;
-        if (push.end != null || push.silence == Silence.FAILURE || op.begun) {
+        if (push.end != null || push.silent || op.begun) {
             return;
         }
         long after = overdueAfter(push);
-        boolean silent = push.to.lastAnswerUs <= Math.max(push.sentUs, now - after);
+        boolean unheard = push.to.lastAnswerUs <= Math.max(push.sentUs, now - after);
         boolean late = now - push.sentUs >= after;
-        // One silent endpoint must not use up the bound where traffic is thin, nor a silent fleet void it.
-        boolean frees = push.silence == Silence.NONE && (late || unbound < 2 * (near.size() + far.size()));
-        if (silent) {
-            unbound += frees ? 1 : 0;
-            push.silence = frees ? Silence.OUT_OF_BOUND : push.silence;
-        }
-        if (late && silent) {
+        if (late && unheard) {
             failed(push);
-            push.silence = Silence.FAILURE;
+            push.silent = true; // and must not use up the bound of a sidecar with little traffic
+            silent++;
         } else { // it answers others: look again, it may fall silent yet
             tasks.add(new Task(now + after / 2, order++, push, null));
         }
