--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -275,7 +275,7 @@
     /** A call to the list failed, or its subscription broke. */
     public void listFailed(long nowUs) {
         now = nowUs;
-        // All must not call an unreachable list at once: waits grow, jittered, within the time we may be deaf.
+        // All must not call an unreachable list at once: waits grow, jittered, within the time to be deaf.
         long wait = Math.min(askWithinUs / 3, 500_000L << Math.min(listFailures++, 3));
         listenUs = now + (long) (wait * (0.5 + random.nextDouble()));
     }
