--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -240,13 +240,13 @@
         this.askWithinUs = askWithinUs;
         this.mostRetryAfterUs = mostRetryAfterUs;
         crossing = 1 + CROSSING * crossingPrice;
-        slotUs = (long) categories.stream().mapToLong(Category::targetUs).average().orElse(1_000_000);
-        spanUs = slotUs;
+        spanUs = slotUs = (long) categories.stream().mapToLong(Category::targetUs).average().orElse(1e6);
         categories.forEach(c -> kinds.put(c.name(), new Kind(c)));
         double quotas = tenants.stream().mapToDouble(Tenant::quotaPerS).sum();
         tenants.stream().filter(t -> t.quotaPerS() > 0)
                 .forEach(t -> this.tenants.put(t.name(), new Tally(t.quotaPerS() / quotas)));
-        listenUs = mustAsk ? Long.MIN_VALUE : Long.MAX_VALUE;
+        double herd = Math.min(askWithinUs / 3.0, 10_000.0 * this.sidecars); // all may start at once
+        listenUs = mustAsk ? -1 - (long) (herd * random.nextDouble()) : Long.MAX_VALUE;
     }
 
     // ======== Inputs: these only note what is known
@@ -255,6 +255,7 @@
     public void list(long nowUs, boolean whole, List<Endpoint> entries) {
         now = nowUs;
         listFailures = 0;
+        listenUs = listenUs < 0 ? now - listenUs : listenUs; // after a start, from the first list on
         listChanged = true;
         if (whole) {
             servers.values().forEach(s -> s.listed = false);
@@ -404,10 +405,9 @@
         s.failing *= 0.9;
         // Hardly anything in flight and still slow: that is no queue of ours, less load would not mend it.
         kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.05 : 0.0001);
-        // The first few weigh more: a sidecar with little traffic would learn for long what is slow.
-        double weight = Math.max(SMOOTH, 1.0 / (2 + s.heard++));
-        s.pace[0] += 0.05 * (Math.min(5, tookUs / kind.meanUs) - s.pace[0]);
-        s.slowness += weight * (Math.min(20, tookUs / kind.meanUs) - s.slowness);
+        double ratio = Math.min(20, tookUs / kind.meanUs);
+        s.pace[0] += 0.05 * (Math.min(5, ratio) - s.pace[0]);
+        s.slowness += Math.max(SMOOTH, 1.0 / (2 + s.heard++)) * (ratio - s.slowness); // the first weigh more
         s.fulls = 0;
         slow(push, tookUs);
         heardUs = heardUs == 0 ? now : heardUs;
@@ -577,8 +577,8 @@
 
     /**
      * How much may be in flight, in the mean. By Little's law the answers of a second times their calm
-     * latency is what would be in flight without a queue; a multiple bounds the queue. It falls as answers
-     * slow down, until overdriven endpoints can rest. It has no floor of an op: over a fleet floors add up.
+     * latency is what would be in flight without a queue; a multiple bounds the queue, and falls as answers
+     * slow down, so that overdriven endpoints can rest. No floor of an op: over a fleet floors add up.
      */
     private double most() {
         double known = heardUs == 0 ? 0 : 1 - Math.exp((heardUs - now) / spanUs);
