The budget of further pushes is in proportion to the sidecar's traffic

Ten at the start and twenty at most for each of 500 sidecars add up to several seconds of the fleet's traffic.

--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -217,7 +217,7 @@
     private boolean listChanged;
     private boolean room;
     private double largest; // size that the list gives to an endpoint
-    private double spare = SPARE_MOST / 2;
+    private double spare = 1; // a budget from the start would add up over hundreds of sidecars
     private int flying;
     private int silent; // of them
     private final Mean calm = new Mean(); // calm time of the answers, a microsecond
@@ -708,7 +708,7 @@
         }
         s.sent++;
         if (first) {
-            spare = Math.min(SPARE_MOST, spare + SPARE_SHARE);
+            spare = Math.min(Math.max(1, Math.min(SPARE_MOST, SPARE_SHARE * came)), spare + SPARE_SHARE);
             op.kind.tally.got++;
             if (op.tenant != null) {
                 op.tenant.got++;
