--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -11,7 +11,7 @@
  *
  * <p>The design decides the ordinary path: five failures in a row eject an endpoint, a jittered penalty ends
  * in one real op on probation, a failed probation doubles the penalty, and among the rest two random choices
- * by smoothed latency x (own in flight + 1). Beside it stand these mechanisms, each named where it acts:
+ * by smoothed latency x (own in flight + 1), of those in use, location by location. Mechanisms beside it:
  * <ol>
  * <li>Cold cap: a fresh or returned endpoint gets pushes as its answers and our part of its budget allow.
  * <li>Silence: an overdue push counts as a failure before its TTL, and its age lifts the latency.
