An endpoint's place on the ring is kept, not hashed at each look-up

Clean-up after reading the whole change: each look-up in the map of endpoints hashed ids some seven times over, also for every list change at every sidecar.

--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -135,8 +135,11 @@
         int sent; // pushes in it
         double lot; // redrawn for each such window: what the fraction of a push comes to
 
+        final long place; // on the ring, the same at all sidecars
+
         Server(Endpoint is) {
             this.is = is;
+            place = is.id().chars().asLongStream().reduce(17, (h, c) -> (h ^ c) * 0x9E3779B97F4A7C15L);
         }
     }
 
@@ -192,8 +195,7 @@
     private double came; // all arrivals, fading
     private double due; // of them within the shares of their tenants
     private long fadedUs;
-    private final Map<String, Server> servers = new TreeMap<>( // a ring, the same at all sidecars
-            Comparator.<String>comparingLong(Logic::place).thenComparing(Comparator.naturalOrder()));
+    private final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<String, double[]> paces = new HashMap<>(); // slowness of a machine kind, from all of it
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
     private final List<Server> near = new ArrayList<>(); // those of them in our own zone that we use
@@ -437,10 +439,9 @@
     private void failed(Push push) {
         Server s = push.to;
         boolean silence = push.end == null;
-        boolean counted = push.silent;
-        s.run += counted ? 0 : 1;
-        s.failing += counted ? 0 : 0.1 * (1 - s.failing);
-        boolean bad = !s.out && !counted && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT);
+        s.run += push.silent ? 0 : 1;
+        s.failing += push.silent ? 0 : 0.1 * (1 - s.failing);
+        boolean bad = !s.out && !push.silent && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT);
         if (bad || s.probation == push) {
             eject(s, silence && (bad || s.bySilence));
         }
@@ -540,7 +541,8 @@
         listChanged = false;
         List.of(in, near, far, ejected).forEach(List::clear);
         servers.values().removeIf(s -> !s.listed && s.flying == 0); // long gone: nothing is kept of it
-        List<Server> ring = servers.values().stream().filter(s -> s.listed).toList();
+        List<Server> ring = servers.values().stream().filter(s -> s.listed)
+                .sorted(Comparator.comparingLong(s -> s.place)).toList();
         ring.forEach(s -> (s.out ? ejected : in).add(s));
         if (in.isEmpty()) {
             in.addAll(ejected); // the design: with every endpoint ejected, pick as if none were
@@ -571,10 +573,6 @@
         }
     }
 
-    private static long place(String id) {
-        return id.chars().asLongStream().reduce(17, (h, c) -> (h ^ c) * 0x9E3779B97F4A7C15L);
-    }
-
     /**
      * How much may be in flight, in the mean. By Little's law the answers of a second times their calm
      * latency is what would be in flight without a queue; a multiple bounds the queue, and falls as answers
