--- a/src/main/java/dillcross/cli/Main.java
+++ b/src/main/java/dillcross/cli/Main.java
@@ -1,5 +1,6 @@
 package dillcross.cli;
 
+import dillcross.config.FaultyKey;
 import dillcross.simhost.Host;
 import dillcross.simhost.WireException;
 import java.io.BufferedOutputStream;
@@ -7,12 +8,13 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.Path;
 import java.util.Properties;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.logging.Logger;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Option;
 
 /** The command line of dillcross. */
 @Command(name = "dillcross", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
@@ -33,14 +35,26 @@
             new Host(System.in, out).run();
             return 0;
         } catch (WireException malformed) {
-            log().error(malformed.getMessage());
+            log().severe(malformed.getMessage());
             return 3;
         }
     }
 
+    @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Run one sidecar: listen for clients, push to endpoints, follow the list.")
+    int serve(@Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:NODE_CONFIG}",
+            description = "Configuration as JSON (default: $NODE_CONFIG).") Path file) throws Exception {
+        try {
+            return new Serve(file, System.getenv()).run();
+        } catch (FaultyKey faulty) {
+            log().severe("configuration: " + faulty.getMessage());
+            return 2;
+        }
+    }
+
     /** Made only when there is something to say: starting the logger costs CPU that a run is billed for. */
     private static Logger log() {
-        return LoggerFactory.getLogger(Main.class);
+        return Logger.getLogger(Main.class.getName());
     }
 
     /** Reads the version that the build wrote. */
--- /dev/null
+++ b/src/main/java/dillcross/config/Given.java
@@ -0,0 +1,189 @@
+package dillcross.config;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import dillcross.Logic;
+import dillcross.model.Category;
+import dillcross.model.ColdRule;
+import dillcross.model.Effect;
+import dillcross.model.Group;
+import dillcross.model.PushRule;
+import dillcross.model.Tenant;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What an instance is told at its start, by path, from path=value pairs or from a JSON file. The one place where it is
+ * read, checked and given defaults; unknown keys are skipped, absent ones get a careful default.
+ */
+public final class Given {
+    private final Map<String, String> values;
+    private final Map<?, ?> tree;
+
+    private Given(Map<String, String> values, Map<?, ?> tree) {
+        this.values = values;
+        this.tree = tree;
+    }
+
+    public static Given pairs(Map<String, String> pairs) {
+        return new Given(pairs, Map.of());
+    }
+
+    /** The file, with {@code environment} for what it does not name. */
+    public static Given file(Path file, Map<String, String> environment) {
+        Map<String, String> values = new HashMap<>(environment);
+        try {
+            Object tree = JSON.std.anyFrom(Files.readAllBytes(file));
+            if (!(tree instanceof Map<?, ?> map)) {
+                throw new FaultyKey(file.toString(), "not a JSON object");
+            }
+            flatten("", map, values);
+            return new Given(values, map);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new FaultyKey(file.toString(), "can't be read as JSON: " + e.getMessage());
+        }
+    }
+
+    /** To the form of the pairs: the length of a list under .count, its items under .0, .1 and onward. */
+    private static void flatten(String path, Object value, Map<String, String> into) {
+        String start = path.isEmpty() ? "" : path + ".";
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((key, item) -> flatten(start + key, item, into));
+        } else if (value instanceof List<?> list) {
+            into.put(start + "count", String.valueOf(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                flatten(start + i, list.get(i), into);
+            }
+        } else if (value != null) {
+            into.put(path, String.valueOf(value));
+        }
+    }
+
+    /** What stands below a path, as one that stands for itself. */
+    public Given below(String path) {
+        Map<String, String> part = new HashMap<>();
+        values.forEach((key, value) -> {
+            if (key.startsWith(path + ".")) {
+                part.put(key.substring(path.length() + 1), value);
+            }
+        });
+        return new Given(part, tree.get(path) instanceof Map<?, ?> map ? map : Map.of());
+    }
+
+    /** As it stands in the JSON file. */
+    public Map<?, ?> tree() {
+        return tree;
+    }
+
+    public Logic instance(long seed) {
+        List<Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < number("tenants.count", 0); i++) {
+            String at = "tenants." + i + ".";
+            tenants.add(new Tenant(text(at + "name", "unnamed"), number(at + "quota_per_s", 0)));
+        }
+        var cold = new ColdRule(number("rules.start_capacity", 0.1), micros("rules.warm_up_ms", 30_000),
+                number("rules.fall_multiple", 2), Math.max(1, micros("rules.fall_ms", 1000)));
+        var pushes = new PushRule((int) number("limits.max_pushes", 1), flag("limits.may_duplicate"),
+                flag("limits.cancel"));
+        return new Logic(seed, text("locality", ""), (int) number("me", 0),
+                (int) number("balancers", 1), categories(), tenants, cold, pushes,
+                text("benefit_basis", "request").equals("work"),
+                text("discovery", "subscribe").equals("subscribe"), micros("rules.ask_within_ms", 5000),
+                flag("limits.retry_after") ? micros("limits.max_retry_after_ms", 0) : 0,
+                number("prices.cross_zone", 0));
+    }
+
+    public List<Category> categories() {
+        List<Category> categories = new ArrayList<>();
+        for (int i = 0; i < number("categories.count", 0); i++) {
+            String at = "categories." + i + ".";
+            categories.add(new Category(text(at + "name", "unnamed"), effect(text(at + "effect", "")),
+                    group(text(at + "key_scope", "")), micros(at + "window_ms", 0),
+                    Math.max(1, micros(at + "target_latency_ms", 1000)), number(at + "benefit", 1)));
+        }
+        return categories;
+    }
+
+    /** The longest that a client of any category waits. */
+    public long mostTtlUs() {
+        long most = 0;
+        for (int i = 0; i < number("categories.count", 0); i++) {
+            most = Math.max(most, micros("categories." + i + ".ttl_ms", 3000));
+        }
+        return most == 0 ? 3_000_000 : most;
+    }
+
+    public long connectUs() {
+        return Math.max(1000, micros("limits.connect_timeout_ms", 250));
+    }
+
+    public long keepUs() {
+        return Math.max(1000, micros("limits.keepalive_ms", 15_000));
+    }
+
+    public int descriptors() {
+        return (int) number("limits.sockets", 1024);
+    }
+
+    public long seed() {
+        String seed = text("seed", "0");
+        try {
+            return Long.parseUnsignedLong(seed, 16);
+        } catch (NumberFormatException e) {
+            throw new FaultyKey("seed", "not a hexadecimal number of 64 bits: " + seed);
+        }
+    }
+
+    /** What has to be there. */
+    public String needed(String path) {
+        String value = text(path, null);
+        if (value == null) {
+            throw new FaultyKey(path, "is missing");
+        }
+        return value;
+    }
+
+    /** What is not known to be harmless is taken to be harmful. */
+    private static Effect effect(String name) {
+        return switch (name) {
+            case "idempotent" -> Effect.REDELIVERABLE;
+            case "deduplicated" -> Effect.DEDUPLICATED;
+            default -> Effect.AT_MOST_ONCE;
+        };
+    }
+
+    private static Group group(String name) {
+        return switch (name) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            default -> Group.CELL;
+        };
+    }
+
+    private String text(String path, String ifAbsent) {
+        String value = values.get(path);
+        return value == null || value.isEmpty() || value.equals("-") ? ifAbsent : value;
+    }
+
+    private boolean flag(String path) {
+        String value = text(path, "false");
+        return value.equals("true") || value.equals("1");
+    }
+
+    private double number(String path, double ifAbsent) {
+        String value = text(path, null);
+        try {
+            return value == null ? ifAbsent : Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new FaultyKey(path, "not a number: " + value);
+        }
+    }
+
+    private long micros(String path, double ifAbsentMs) {
+        return Math.round(number(path, ifAbsentMs) * 1000);
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/net/Connector.java
@@ -0,0 +1,68 @@
+package dillcross.net;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** Opens connections whose top filter is the given one; each has its link before it is up, so that it can be given up. */
+final class Connector extends TCPNIOConnectorHandler {
+    private Link opening;
+
+    Connector(TCPNIOTransport transport, Filter top) {
+        super(transport);
+        setProcessor(FilterChainBuilder.stateless().add(new RingFilter()).add(new HttpFilter(false)).add(top).build());
+    }
+
+    @Override
+    @SuppressWarnings("rawtypes")
+    protected void preConfigure(Connection connection) {
+        opening = new Link((NIOConnection) connection, false);
+    }
+
+    /** {@code done} hears once, with the link where it is up and with null where it can't be had. */
+    @SuppressWarnings("rawtypes")
+    Link open(String address, Consumer<Link> done) {
+        opening = null;
+        InetSocketAddress to = parse(address);
+        if (to == null) {
+            done.accept(null);
+            return null;
+        }
+        connect(to, new EmptyCompletionHandler<Connection>() {
+            @Override
+            public void completed(Connection connection) {
+                Link link = Link.of(connection);
+                link.connected = true;
+                done.accept(link);
+            }
+
+            @Override
+            public void failed(Throwable broken) {
+                done.accept(null);
+            }
+        });
+        return opening;
+    }
+
+    /** An address is a number and a port: looking up a name would stop the one thread. Null where it is none. */
+    static InetSocketAddress parse(String address) {
+        int colon = address == null ? -1 : address.lastIndexOf(':');
+        if (colon < 0 || !address.matches("([0-9.]+|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}")) {
+            return null;
+        }
+        try {
+            int port = Integer.parseInt(address.substring(colon + 1));
+            return port > 65_535 ? null : new InetSocketAddress(InetAddress.getByName(address.substring(0, colon)), port);
+        } catch (UnknownHostException notANumber) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -0,0 +1,118 @@
+package dillcross.net;
+
+import dillcross.sidecar.Core;
+import dillcross.sidecar.Order;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** Watches of the list, one at a time, on a connection that is kept. Each is reported once: news, or failed. */
+final class Discovery extends BaseFilter {
+    private static final long WAIT_MS = 20_000; // that a watch may wait for news
+    private static final long GRACE_US = 3_000_000; // beyond it, until the call counts as lost
+
+    private final Core core;
+    private final LongSupplier clock;
+    private final Connector connector;
+    private final String address;
+    private final long connectUs;
+    private Link link;
+    private Order.Watch asked; // null while no call is out
+    private long limitUs;
+
+    Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, long connectUs) {
+        this.core = core;
+        this.clock = clock;
+        this.address = address;
+        this.connectUs = connectUs;
+        connector = new Connector(transport, this);
+    }
+
+    void watch(Order.Watch order) {
+        if (asked != null) {
+            return; // the call that is out brings it
+        }
+        asked = order;
+        if (link != null && link.connection.isOpen() && !link.ended) {
+            send(link);
+        } else {
+            limitUs = clock.getAsLong() + connectUs;
+            link = null;
+            Link opening = connector.open(address, this::connected);
+            link = asked == order && link == null ? opening : link;
+        }
+    }
+
+    private void connected(Link up) {
+        if (up == null) {
+            fail();
+        } else if (asked != null) {
+            link = up;
+            send(up);
+        }
+    }
+
+    private void send(Link on) {
+        limitUs = clock.getAsLong() + WAIT_MS * 1000 + GRACE_US;
+        Map<String, String> fields = new LinkedHashMap<>();
+        fields.put("host", address);
+        String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + WAIT_MS;
+        on.connection.write(Message.request("GET", target, fields, Message.nothing()));
+    }
+
+    private void fail() {
+        if (asked != null) {
+            asked = null;
+            Link old = link;
+            link = null;
+            if (old != null) {
+                old.close();
+            }
+            core.listFailed(clock.getAsLong());
+        }
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Link from = Link.of(ctx.getConnection());
+        Message answer = from == link && asked != null && ctx.getMessage() instanceof Message m ? m : null;
+        Roster roster = answer != null && answer.status() == 200 ? Roster.parse(answer.body()) : null;
+        if (roster == null) {
+            if (from == link) {
+                fail();
+            }
+            from.close();
+        } else {
+            asked = null;
+            if (!answer.keepsAlive()) {
+                from.close();
+            }
+            core.list(clock.getAsLong(), roster.version(), roster.whole(), roster.entries(), true);
+        }
+        return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        if (Link.of(ctx.getConnection()) == link) {
+            link = null;
+            fail();
+        }
+        return ctx.getInvokeAction();
+    }
+
+    long dueUs() {
+        return asked == null ? Long.MAX_VALUE : limitUs;
+    }
+
+    /** A call that hangs is lost. */
+    void sweep(long nowUs) {
+        if (asked != null && nowUs >= limitUs) {
+            fail();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -0,0 +1,204 @@
+package dillcross.net;
+
+import dillcross.sidecar.Core;
+import dillcross.sidecar.Ending;
+import dillcross.sidecar.Order;
+import dillcross.sidecar.Reach;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** Pushes on connections to endpoints. Nothing here is sent twice: each push is written once, and reported once. */
+final class Endpoints extends BaseFilter {
+    /** One push that is out. */
+    private static final class Exchange {
+        final Order.Push push;
+        final long connectByUs;
+        Link link; // null until it is opened
+
+        Exchange(Order.Push push, long connectByUs) {
+            this.push = push;
+            this.connectByUs = connectByUs;
+        }
+
+        Reach reach() {
+            return link == null || !link.connected ? Reach.NOT_CONNECTED
+                    : link.written() ? Reach.WHOLE_WRITTEN : Reach.PARTLY_WRITTEN;
+        }
+    }
+
+    private record Key(long op, int push) { }
+
+    private final Core core;
+    private final LongSupplier clock;
+    private final Connector connector;
+    private final long connectUs;
+    private final long idleUs;
+    private final int most; // connections
+    private final Map<Key, Exchange> exchanges = new HashMap<>();
+    private final ArrayDeque<Exchange> connecting = new ArrayDeque<>(); // in the order of their limits
+    private final Map<String, ArrayDeque<Link>> idle = new LinkedHashMap<>();
+    private int open;
+    private long sweptUs;
+
+    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, long connectUs, long idleUs, int most) {
+        this.core = core;
+        this.clock = clock;
+        this.connectUs = connectUs;
+        this.idleUs = idleUs;
+        this.most = most;
+        connector = new Connector(transport, this);
+    }
+
+    void push(Order.Push push) {
+        Exchange exchange = new Exchange(push, clock.getAsLong() + connectUs);
+        exchanges.put(new Key(push.op(), push.push()), exchange);
+        ArrayDeque<Link> free = idle.get(push.address());
+        for (Link link; free != null && (link = free.pollLast()) != null;) {
+            if (usable(link)) {
+                exchange.link = link;
+                send(exchange);
+                return;
+            }
+            link.close();
+        }
+        if (open >= most && !closeOneIdle()) {
+            end(exchange, Ending.Kind.BROKEN, null);
+            return;
+        }
+        open++;
+        connecting.add(exchange);
+        Link link = connector.open(push.address(), up -> connected(exchange, up));
+        if (link != null && exchange.link == null) {
+            exchange.link = link;
+        }
+    }
+
+    /** The endpoint closes what is idle for long, and a request that crosses that is lost: we close before it does. */
+    private boolean usable(Link link) {
+        return link.connection.isOpen() && !link.ended && clock.getAsLong() - link.idleUs < idleUs;
+    }
+
+    private boolean closeOneIdle() {
+        for (ArrayDeque<Link> free : idle.values()) {
+            Link link = free.pollFirst();
+            if (link != null) {
+                link.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void connected(Exchange exchange, Link up) {
+        if (up == null) {
+            end(exchange, Ending.Kind.BROKEN, null);
+        } else if (connecting.remove(exchange)) {
+            exchange.link = up;
+            send(exchange);
+        } else { // given up meanwhile
+            open++;
+            up.close();
+        }
+    }
+
+    private void send(Exchange exchange) {
+        Link link = exchange.link;
+        link.user = exchange;
+        Message request = (Message) exchange.push.content();
+        Map<String, String> fields = request.passedOn();
+        long waitMs = Math.max(1, (exchange.push.untilUs() - clock.getAsLong()) / 1000);
+        fields.put(Names.TIMEOUT, String.valueOf(waitMs));
+        link.connection.write(Message.request(request.first(), request.second(), fields, request.body()));
+    }
+
+    void giveUp(Order.GiveUp order) {
+        Exchange exchange = exchanges.get(new Key(order.op(), order.push()));
+        if (exchange != null) {
+            end(exchange, Ending.Kind.GIVEN_UP, null);
+        }
+    }
+
+    /** Takes the exchange off its connection, which is closed unless the answer was whole, and reports the end. */
+    private void end(Exchange exchange, Ending.Kind kind, Message answer) {
+        Key key = new Key(exchange.push.op(), exchange.push.push());
+        if (!exchanges.remove(key, exchange)) {
+            return;
+        }
+        Ending ending = new Ending(kind, exchange.reach(), answer);
+        if (connecting.remove(exchange)) {
+            open--;
+        }
+        Link link = exchange.link;
+        if (link != null) {
+            link.user = null;
+            boolean reuse = answer != null && answer.keepsAlive() && link.written() && !link.ended
+                    && link.in.size() == 0;
+            if (reuse) {
+                link.idleUs = clock.getAsLong();
+                idle.computeIfAbsent(exchange.push.address(), a -> new ArrayDeque<>()).addLast(link);
+            } else {
+                link.close();
+            }
+        }
+        core.ended(clock.getAsLong(), key.op, key.push, ending);
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Link link = Link.of(ctx.getConnection());
+        Exchange exchange = (Exchange) link.user;
+        if (exchange == null || !(ctx.getMessage() instanceof Message)) {
+            link.close(); // an answer that nobody asked for, or one that can't be read
+            return ctx.getStopAction();
+        }
+        Message answer = ctx.getMessage();
+        end(exchange, kind(answer), answer);
+        return ctx.getStopAction();
+    }
+
+    private static Ending.Kind kind(Message answer) {
+        return switch (answer.status()) {
+            case 200 -> Ending.Kind.ACKED;
+            case 503, 504 -> "1".equals(answer.field(Names.NOT_STARTED)) ? Ending.Kind.TURNED_AWAY : Ending.Kind.ERROR;
+            default -> Ending.Kind.ERROR;
+        };
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        Link link = Link.of(ctx.getConnection());
+        open--;
+        if (link.user != null) {
+            end((Exchange) link.user, Ending.Kind.BROKEN, null);
+        }
+        return ctx.getInvokeAction();
+    }
+
+    long dueUs() {
+        return connecting.isEmpty() ? Long.MAX_VALUE : connecting.peekFirst().connectByUs;
+    }
+
+    /** Ends what does not connect in time, and drops what has been idle for too long. */
+    void sweep(long nowUs) {
+        for (Exchange e; (e = connecting.peekFirst()) != null && e.connectByUs <= nowUs;) {
+            end(e, Ending.Kind.BROKEN, null);
+        }
+        if (nowUs - sweptUs > 1_000_000) {
+            sweptUs = nowUs;
+            idle.values().forEach(free -> {
+                for (Link link; (link = free.peekFirst()) != null && !usable(link);) {
+                    free.pollFirst();
+                    link.close();
+                }
+            });
+            idle.values().removeIf(ArrayDeque::isEmpty);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/net/HttpFilter.java
@@ -0,0 +1,49 @@
+package dillcross.net;
+
+import java.nio.charset.StandardCharsets;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/** Bytes of the rings to messages and back. One message at a time goes up; the next waits in the ring. */
+final class HttpFilter extends BaseFilter {
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private final boolean server;
+
+    HttpFilter(boolean server) {
+        this.server = server;
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Link link = Link.of(ctx.getConnection());
+        if (link.closing) {
+            link.in.skip(link.in.size()); // its answer is on the way; what still comes is not looked at
+        } else if (!(server && link.user != null)) {
+            Message message = link.reader.read(link.in, link.ended);
+            if (server && link.reader.takeWantsMore()) {
+                link.out.add(CONTINUE);
+                link.flush();
+            }
+            if (message != null || link.reader.fault() != 0) {
+                ctx.setMessage(message == null ? link.reader.fault() : message);
+                return ctx.getInvokeAction();
+            }
+        }
+        if (link.ended || link.in.full()) {
+            link.close();
+        }
+        return ctx.getStopAction();
+    }
+
+    @Override
+    public NextAction handleWrite(FilterChainContext ctx) {
+        Link link = Link.of(ctx.getConnection());
+        Message message = ctx.getMessage();
+        if (!link.out.add(message.encoded())) {
+            link.close();
+            return ctx.getStopAction();
+        }
+        return ctx.getInvokeAction();
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/net/Link.java
@@ -0,0 +1,96 @@
+package dillcross.net;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.channels.SocketChannel;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.asyncqueue.WritableMessage;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** One connection: its two rings, what is read from them, and whom it serves at the moment. */
+final class Link {
+    private static final int MOST = 128 << 10; // the largest message, its framing, and what may come before it is read
+    private static final Attribute<Link> OF = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("dillcross.link");
+
+    final NIOConnection connection;
+    final Ring in = new Ring(MOST);
+    final Ring out = new Ring(MOST);
+    final Reader reader;
+    Object user; // the exchange that it carries; null while idle
+    boolean connected;
+    boolean ended; // nothing more comes from the other side
+    boolean closing; // to be closed when all is written
+    long idleUs; // since when it carries none
+    private boolean writing;
+
+    Link(NIOConnection connection, boolean requests) {
+        this.connection = connection;
+        reader = new Reader(requests);
+        OF.set(connection, this);
+    }
+
+    static Link of(Connection<?> connection) {
+        return OF.get(connection);
+    }
+
+    /** Reads what has come into the ring; the end of the other side's sending is noted, not thrown. */
+    void fill() {
+        try {
+            ended |= in.read((SocketChannel) connection.getChannel()) < 0;
+        } catch (IOException reset) {
+            ended = true;
+        }
+    }
+
+    boolean written() {
+        return connected && out.size() == 0;
+    }
+
+    /** Hands the ring's bytes to the transport, run by run; its queue takes over where the socket is full. */
+    void flush() {
+        if (writing || out.size() == 0) {
+            return;
+        }
+        TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
+        Buffer run = Buffers.wrap(transport.getMemoryManager(), out.run());
+        int size = run.remaining();
+        writing = true;
+        transport.getAsyncQueueIO().getWriter().write(connection, run,
+                new EmptyCompletionHandler<WriteResult<WritableMessage, SocketAddress>>() {
+                    @Override
+                    public void completed(WriteResult<WritableMessage, SocketAddress> result) {
+                        writing = false;
+                        out.skip(size);
+                        flush();
+                        if (closing && out.size() == 0) {
+                            endSending();
+                        }
+                    }
+
+                    @Override
+                    public void failed(Throwable broken) {
+                        close(); // what is left in the ring says how far it came
+                    }
+                });
+    }
+
+    /** Ends our sending; the other side then closes. Closing at once could destroy what it has not read yet. */
+    private void endSending() {
+        try {
+            ((SocketChannel) connection.getChannel()).shutdownOutput();
+        } catch (IOException gone) {
+            close();
+        }
+    }
+
+    void close() {
+        connection.terminateSilently();
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/net/Ring.java
@@ -0,0 +1,96 @@
+package dillcross.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+
+/** Bytes of one connection in one direction. Starts small and doubles up to a limit, so that idle ones cost little. */
+final class Ring {
+    private static final int FIRST = 1 << 10;
+    private final int most;
+    private byte[] bytes = new byte[FIRST];
+    private int head; // of the first byte
+    private int size;
+
+    /** {@code most} is a power of two. */
+    Ring(int most) {
+        this.most = most;
+    }
+
+    int size() {
+        return size;
+    }
+
+    boolean full() {
+        return size == most;
+    }
+
+    byte at(int index) {
+        return bytes[(head + index) & (bytes.length - 1)];
+    }
+
+    void skip(int count) {
+        head = (head + count) & (bytes.length - 1);
+        size -= count;
+        if (size == 0) {
+            head = 0;
+            bytes = bytes.length > 8 * FIRST ? new byte[FIRST] : bytes; // one large message must not cost for ever
+        }
+    }
+
+    /** Copies bytes out and leaves them in. */
+    void copy(int from, byte[] to, int at, int count) {
+        int start = (head + from) & (bytes.length - 1);
+        int first = Math.min(count, bytes.length - start);
+        System.arraycopy(bytes, start, to, at, first);
+        System.arraycopy(bytes, 0, to, at + first, count - first);
+    }
+
+    /** False where it would pass the limit; then nothing is taken. */
+    boolean add(byte[] from) {
+        if (size + from.length > most) {
+            return false;
+        }
+        grow(size + from.length);
+        int end = (head + size) & (bytes.length - 1);
+        int first = Math.min(from.length, bytes.length - end);
+        System.arraycopy(from, 0, bytes, end, first);
+        System.arraycopy(from, first, bytes, 0, from.length - first);
+        size += from.length;
+        return true;
+    }
+
+    /** The first run of bytes without a break, for writing; it stays in until skipped. */
+    ByteBuffer run() {
+        return ByteBuffer.wrap(bytes, head, Math.min(size, bytes.length - head)).slice();
+    }
+
+    /** Reads what there is room for: how many, or -1 at the end. */
+    int read(SocketChannel from) throws IOException {
+        int all = 0;
+        while (size < most) {
+            grow(size + 1);
+            int end = (head + size) & (bytes.length - 1);
+            int space = end < head ? head - end : bytes.length - end;
+            int got = from.read(ByteBuffer.wrap(bytes, end, space));
+            if (got < 0) {
+                return all > 0 ? all : -1;
+            }
+            size += got;
+            all += got;
+            if (got < space) {
+                break;
+            }
+        }
+        return all;
+    }
+
+    private void grow(int need) {
+        if (need > bytes.length) {
+            byte[] larger = new byte[Math.max(2 * bytes.length, Integer.highestOneBit(need - 1) * 2)];
+            copy(0, larger, 0, size);
+            bytes = larger;
+            head = 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -0,0 +1,233 @@
+package dillcross.sidecar;
+
+import dillcross.Logic;
+import dillcross.model.Decision;
+import dillcross.model.Endpoint;
+import dillcross.model.Outcome;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * One sidecar without I/O and without a clock: turns what the network tells into calls of the module, and the module's
+ * decisions into orders for the network. Inputs only note; then pull {@link #next} until it is null. It decides nothing
+ * itself: it keeps time for the module, and remembers which client waits for which op.
+ */
+public final class Core {
+    private static final long QUICK_WATCH_US = 100_000; // a list that answers at once, again and again, must not spin
+
+    /** One push that is out. */
+    private static final class Push {
+        final long sentUs;
+        boolean late; // given up because its time was over
+        boolean ended;
+
+        Push(long sentUs) {
+            this.sentUs = sentUs;
+        }
+    }
+
+    /** One op, kept until it is answered and none of its pushes is out. */
+    private static final class Op {
+        final Object client;
+        final Object content;
+        final long endUs;
+        final List<Push> pushes = new ArrayList<>(2);
+        int out;
+        boolean over;
+
+        Op(Object client, Object content, long endUs) {
+            this.client = client;
+            this.content = content;
+            this.endUs = endUs;
+        }
+    }
+
+    /** Something that is due: a push or all of an op's to give up, the module to wake, the list to watch again. */
+    private record Timer(long dueUs, long order, What what, long op, int push) { }
+
+    private enum What { PUSH_ENDS, OP_ENDS, WAKE, WATCH }
+
+    private final Logic logic;
+    private final Map<Long, Op> ops = new HashMap<>();
+    private final Map<String, String> addresses = new HashMap<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) ->
+            a.dueUs != b.dueUs ? Long.compare(a.dueUs, b.dueUs) : Long.compare(a.order, b.order));
+    private final ArrayDeque<Order> ready = new ArrayDeque<>();
+    private long order;
+    private long lastOp;
+    private long version;
+    private long askedUs;
+    private int open; // ops not answered yet
+
+    public Core(Logic logic) {
+        this.logic = logic;
+    }
+
+    // ---- Inputs
+
+    /** News of the list; {@code watched} where a watch brought it, which then goes on. */
+    public void list(long nowUs, long newVersion, boolean whole, List<Listed> entries, boolean watched) {
+        boolean older = !whole && newVersion < version;
+        version = older ? 0 : newVersion; // its numbering began anew: ask for the whole list
+        List<Endpoint> endpoints = new ArrayList<>(entries.size());
+        for (Listed entry : entries) {
+            addresses.put(entry.endpoint().id(), entry.address());
+            endpoints.add(entry.endpoint());
+        }
+        if (whole) {
+            addresses.keySet().retainAll(endpoints.stream().map(Endpoint::id).toList());
+        }
+        logic.list(nowUs, whole, endpoints);
+        if (watched) {
+            timer(entries.isEmpty() ? Math.max(nowUs, askedUs + QUICK_WATCH_US) : nowUs, What.WATCH, 0, 0);
+        }
+    }
+
+    /** The list can't be had, or a watch of it broke. */
+    public void listFailed(long nowUs) {
+        logic.listFailed(nowUs);
+    }
+
+    /** A client asks; the number by which its op is known from here on. */
+    public long arrive(long nowUs, Object client, Object content, String tenant, String category, long ttlUs,
+            boolean repeat) {
+        long id = ++lastOp;
+        ops.put(id, new Op(client, content, nowUs + ttlUs));
+        open++;
+        timer(nowUs + ttlUs, What.OP_ENDS, id, 0);
+        logic.arrive(nowUs, id, tenant, category, ttlUs, repeat);
+        return id;
+    }
+
+    /** The client has gone. */
+    public void left(long nowUs, long id) {
+        Op op = ops.get(id);
+        if (op != null && !op.over) {
+            logic.left(nowUs, id);
+            over(id, op);
+        }
+    }
+
+    /** A push has ended on the network. */
+    public void ended(long nowUs, long id, int number, Ending ending) {
+        Op op = ops.get(id);
+        Push push = op == null ? null : op.pushes.get(number);
+        if (push == null || push.ended) {
+            return;
+        }
+        push.ended = true;
+        op.out--;
+        Outcome outcome = ending.outcome(push.late);
+        if (outcome == Outcome.ACKED && !op.over) {
+            ready.add(new Order.Ack(op.client, ending.content()));
+            op.over = true;
+            open--;
+        }
+        logic.ended(nowUs, id, number, outcome, nowUs - push.sentUs, op.over);
+        if (op.over && op.out == 0) {
+            ops.remove(id);
+        }
+    }
+
+    /** When the next timer is due; a network with nothing to tell must call {@link #next} by then. */
+    public long dueUs() {
+        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueUs;
+    }
+
+    /** Ops that wait for their answer. */
+    public int open() {
+        return open;
+    }
+
+    // ---- Orders
+
+    /** The next thing to carry out, or null when there is none. */
+    public Order next(long nowUs) {
+        while (ready.isEmpty()) {
+            Timer due = timers.peek();
+            if (due != null && due.dueUs <= nowUs) {
+                timers.poll();
+                fire(nowUs, due);
+            } else {
+                Decision decision = logic.next();
+                if (decision == null) {
+                    return null;
+                }
+                carryOut(nowUs, decision);
+            }
+        }
+        return ready.poll();
+    }
+
+    private void fire(long nowUs, Timer due) {
+        Op op = ops.get(due.op);
+        switch (due.what) {
+            case WAKE -> logic.woken(nowUs);
+            case WATCH -> watch(nowUs);
+            case PUSH_ENDS -> giveUp(due.op, op, due.push, true);
+            case OP_ENDS -> {
+                for (int i = 0; op != null && i < op.pushes.size(); i++) {
+                    giveUp(due.op, op, i, true);
+                }
+            }
+        }
+    }
+
+    private void watch(long nowUs) {
+        askedUs = nowUs;
+        ready.add(new Order.Watch(version));
+    }
+
+    private void giveUp(long id, Op op, int number, boolean late) {
+        if (op != null && number < op.pushes.size() && !op.pushes.get(number).ended) {
+            op.pushes.get(number).late = late;
+            ready.add(new Order.GiveUp(id, number));
+        }
+    }
+
+    private void carryOut(long nowUs, Decision decision) {
+        Op op = ops.get(decision.op());
+        switch (decision.kind()) {
+            case PUSH -> {
+                boolean limited = decision.us() > 0 && decision.us() < op.endUs;
+                long untilUs = limited ? decision.us() : op.endUs;
+                int number = op.pushes.size();
+                op.pushes.add(new Push(nowUs));
+                op.out++;
+                if (limited) {
+                    timer(untilUs, What.PUSH_ENDS, decision.op(), number);
+                }
+                ready.add(new Order.Push(decision.op(), number, addresses.get(decision.endpoint()), op.content, untilUs));
+            }
+            case NACK -> {
+                ready.add(new Order.Nack(op.client, decision.us()));
+                over(decision.op(), op);
+            }
+            case DEAD_LETTER -> {
+                ready.add(new Order.DeadLetter(op.client));
+                over(decision.op(), op);
+            }
+            case CANCEL -> giveUp(decision.op(), op, decision.push(), false);
+            case LISTEN -> watch(nowUs);
+            case WAKE -> timer(nowUs + decision.us(), What.WAKE, 0, 0);
+        }
+    }
+
+    private void over(long id, Op op) {
+        if (!op.over) {
+            op.over = true;
+            open--;
+        }
+        if (op.out == 0) {
+            ops.remove(id);
+        }
+    }
+
+    private void timer(long dueUs, What what, long op, int push) {
+        timers.add(new Timer(dueUs, order++, what, op, push));
+    }
+}
--- /dev/null
+++ b/src/main/java/dillcross/sidecar/Order.java
@@ -0,0 +1,22 @@
+package dillcross.sidecar;
+
+/** One thing for the network to carry out. */
+public sealed interface Order {
+    /** Push the content of an op; {@code untilUs} is when it will be given up. */
+    record Push(long op, int push, String address, Object content, long untilUs) implements Order { }
+
+    /** Stop waiting for a push, and report how far it came. */
+    record GiveUp(long op, int push) implements Order { }
+
+    /** Pass an acked answer on to the client. */
+    record Ack(Object client, Object content) implements Order { }
+
+    /** Tell the client that another try is harmless, in {@code retryAfterUs} if that is not 0. */
+    record Nack(Object client, long retryAfterUs) implements Order { }
+
+    /** Tell the client that it failed, with no promise. */
+    record DeadLetter(Object client) implements Order { }
+
+    /** Ask for what is newer in the list than that version. */
+    record Watch(long version) implements Order { }
+}
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -1,6 +1,8 @@
 package dillcross.simhost;
 
 import dillcross.Logic;
+import dillcross.config.FaultyKey;
+import dillcross.config.Given;
 import dillcross.model.Decision;
 import dillcross.model.Endpoint;
 import dillcross.model.Endpoint.Health;
@@ -66,7 +68,7 @@
             case "open_instance" -> {
                 int sidecar = f.small();
                 long seed = f.whole(0);
-                Logic logic = new Facts(f).instance(seed);
+                Logic logic = open(f, seed);
                 instances.put(sidecar, logic);
                 touched.put(sidecar, logic);
             }
@@ -94,6 +96,22 @@
         }
     }
 
+    private static Logic open(Fields f, long seed) {
+        Map<String, String> pairs = new HashMap<>();
+        while (f.more()) {
+            String pair = f.textOrNull();
+            int cut = pair == null ? -1 : pair.indexOf('=');
+            if (cut > 0) {
+                pairs.put(pair.substring(0, cut), pair.substring(cut + 1));
+            }
+        }
+        try {
+            return Given.pairs(pairs).instance(seed);
+        } catch (FaultyKey e) {
+            throw f.malformed(e.getMessage(), e);
+        }
+    }
+
     private void tell(String name, Fields f, Logic logic) {
         switch (name) {
             case "endpoints" -> {
