--- a/src/main/java/dillcross/cli/Main.java
+++ b/src/main/java/dillcross/cli/Main.java
@@ -20,6 +20,8 @@
 @Command(name = "dillcross", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         description = "Client-side load balancer that runs as a sidecar beside each calling process.")
 public final class Main implements Runnable {
+    private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
+
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -43,9 +45,11 @@
     @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "Run one sidecar: listen for clients, push to endpoints, follow the list.")
     int serve(@Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:NODE_CONFIG}",
-            description = "Configuration as JSON (default: $NODE_CONFIG).") Path file) throws Exception {
+            description = "Configuration as JSON (default: $NODE_CONFIG).") Path file,
+            @Option(names = "--check", description = "Check the configuration, start, warm up and exit.")
+            boolean check) throws Exception {
         try {
-            return new Serve(file, System.getenv()).run();
+            return new Serve(file, System.getenv()).run(check);
         } catch (FaultyKey faulty) {
             log().severe("configuration: " + faulty.getMessage());
             return 2;
@@ -70,6 +74,9 @@
     }
 
     public static void main(String[] args) {
+        if (System.getProperty(LOG_FORMAT) == null) {
+            System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n"); // one line a message
+        }
         System.exit(new CommandLine(new Main()).execute(args));
     }
 }
--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -3,6 +3,7 @@
 import dillcross.config.FaultyKey;
 import dillcross.config.Given;
 import dillcross.net.Node;
+import dillcross.net.Rehearsal;
 import dillcross.net.Roster;
 import dillcross.sidecar.Core;
 import java.io.IOException;
@@ -31,7 +32,7 @@
         given = Given.file(file, named);
     }
 
-    int run() throws IOException, InterruptedException {
+    int run(boolean check) throws IOException, InterruptedException {
         Given settings = given.below("settings");
         LongSupplier clock = clock();
         Core core = new Core(settings.instance(given.seed()));
@@ -48,8 +49,12 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
+        Rehearsal.run(settings.instance(0), settings.categories());
         node.start(listen());
-        new CountDownLatch(1).await();
+        node.awaitReady();
+        if (!check) {
+            new CountDownLatch(1).await(); // the end comes by a signal
+        }
         return 0;
     }
 
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -19,12 +19,14 @@
     /** One push that is out. */
     private static final class Exchange {
         final Order.Push push;
+        final long sentUs;
         final long connectByUs;
         Link link; // null until it is opened
 
-        Exchange(Order.Push push, long connectByUs) {
+        Exchange(Order.Push push, long sentUs, long connectUs) {
             this.push = push;
-            this.connectByUs = connectByUs;
+            this.sentUs = sentUs;
+            connectByUs = sentUs + connectUs;
         }
 
         Reach reach() {
@@ -57,7 +59,7 @@
     }
 
     void push(Order.Push push) {
-        Exchange exchange = new Exchange(push, clock.getAsLong() + connectUs);
+        Exchange exchange = new Exchange(push, clock.getAsLong(), connectUs);
         exchanges.put(new Key(push.op(), push.push()), exchange);
         ArrayDeque<Link> free = idle.get(push.address());
         for (Link link; free != null && (link = free.pollLast()) != null;) {
@@ -122,6 +124,19 @@
         Exchange exchange = exchanges.get(new Key(order.op(), order.push()));
         if (exchange != null) {
             end(exchange, Ending.Kind.GIVEN_UP, null);
+            dropOlder(exchange);
+        }
+    }
+
+    /**
+     * An endpoint that was cut off leaves its connections open, silent and dead: when a push to it is given up, those
+     * that no answer has come on since are not used again, or each would cost one more push.
+     */
+    private void dropOlder(Exchange silent) {
+        ArrayDeque<Link> free = idle.get(silent.push.address());
+        for (Link link; free != null && (link = free.peekFirst()) != null && link.idleUs <= silent.sentUs;) {
+            free.pollFirst();
+            link.close();
         }
     }
 
@@ -181,6 +196,18 @@
         return ctx.getInvokeAction();
     }
 
+    boolean busy() {
+        return !exchanges.isEmpty();
+    }
+
+    /** Closes what is idle to an address. */
+    void drop(String address) {
+        ArrayDeque<Link> free = idle.remove(address);
+        if (free != null) {
+            free.forEach(Link::close);
+        }
+    }
+
     long dueUs() {
         return connecting.isEmpty() ? Long.MAX_VALUE : connecting.peekFirst().connectByUs;
     }
--- a/src/main/java/dillcross/net/HttpFilter.java
+++ b/src/main/java/dillcross/net/HttpFilter.java
@@ -20,7 +20,7 @@
         if (link.closing) {
             link.in.skip(link.in.size()); // its answer is on the way; what still comes is not looked at
         } else if (!(server && link.user != null)) {
-            Message message = link.reader.read(link.in, link.ended);
+            Message message = link.reader.read(link.in, link.ended && !link.reset);
             if (server && link.reader.takeWantsMore()) {
                 link.out.add(CONTINUE);
                 link.flush();
--- a/src/main/java/dillcross/net/Link.java
+++ b/src/main/java/dillcross/net/Link.java
@@ -26,8 +26,10 @@
     Object user; // the exchange that it carries; null while idle
     boolean connected;
     boolean ended; // nothing more comes from the other side
+    boolean reset; // ... and what came may be cut short
     boolean closing; // to be closed when all is written
     long idleUs; // since when it carries none
+    long partialUs; // since when it holds a part of a request; 0 while it does not
     private boolean writing;
 
     Link(NIOConnection connection, boolean requests) {
@@ -44,8 +46,9 @@
     void fill() {
         try {
             ended |= in.read((SocketChannel) connection.getChannel()) < 0;
-        } catch (IOException reset) {
+        } catch (IOException e) {
             ended = true;
+            reset = true;
         }
     }
 
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -5,6 +5,7 @@
 import dillcross.sidecar.Core;
 import java.util.LinkedHashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -19,6 +20,8 @@
 final class Listener extends BaseFilter {
     private static final long LINGER_US = 1_000_000; // for the other side to read a last answer and close
 
+    private static final long PARTIAL_US = 10_000_000; // that a request may take to come
+
     private final Core core;
     private final LongSupplier clock;
     private final Map<String, Category> categories;
@@ -194,7 +197,7 @@
     /** From now on each answer closes its connection, and so do connections that carry nothing. */
     void drain() {
         draining = true;
-        for (Link link : Set.copyOf(links)) {
+        for (Link link : List.copyOf(links)) {
             if (link.user == null && link.in.size() == 0 && !link.reader.within() && link.out.size() == 0) {
                 link.close();
             }
@@ -212,8 +215,11 @@
     }
 
     void sweep(long nowUs) {
-        for (Link link : Set.copyOf(links)) {
-            if (link.closing && nowUs - link.idleUs > LINGER_US) {
+        for (Link link : List.copyOf(links)) {
+            boolean partial = link.user == null && (link.in.size() > 0 || link.reader.within());
+            link.partialUs = !partial ? 0 : link.partialUs == 0 ? nowUs : link.partialUs;
+            boolean stuck = partial && nowUs - link.partialUs > PARTIAL_US; // or slow senders would use up the limit
+            if (stuck || link.closing && nowUs - link.idleUs > LINGER_US) {
                 link.close();
             }
         }
--- a/src/main/java/dillcross/net/Loop.java
+++ b/src/main/java/dillcross/net/Loop.java
@@ -13,11 +13,14 @@
  * hands all of it to the module in one go and carries out what came back.
  */
 final class Loop extends DefaultSelectorHandler {
+    private final Runnable look;
     private final Runnable turn;
     private final LongSupplier dueInUs; // until the next timer
     private volatile Selector selector;
 
-    Loop(Runnable turn, LongSupplier dueInUs) {
+    /** {@code look} reads the clock, once for all that is gathered. */
+    Loop(Runnable look, Runnable turn, LongSupplier dueInUs) {
+        this.look = look;
         this.turn = turn;
         this.dueInUs = dueInUs;
     }
@@ -46,6 +49,7 @@
         } else {
             selector.select(Math.min(getSelectTimeout(), (us + 999) / 1000));
         }
+        look.run();
         return selector.selectedKeys();
     }
 }
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -21,6 +21,8 @@
 /** The running sidecar: its transport with one selector thread, and the parts that the thread works for. */
 public final class Node {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
+    private static final int REHEARSALS = 200;
+    private static final long MOST_REHEARSAL_US = 1_000_000;
     private static final int BACKLOG = 1024;
     private static final int SPARE_DESCRIPTORS = 64; // files, selector, listening socket, list, and what closes
     private static final long ACCEPT_US = 500_000; // after the order to stop, new connections still come
@@ -32,17 +34,25 @@
     private final Listener listener;
     private final Endpoints endpoints;
     private final Discovery discovery;
+    private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch done = new CountDownLatch(1);
-    private final Loop loop = new Loop(this::turn, this::dueInUs);
+    private final Loop loop = new Loop(this::look, this::turn, this::dueInUs);
     private volatile boolean stop;
+    private volatile String self; // our own address, once we listen
+    private final long startedUs;
+    private long rehearsed;
     private long stopUs; // when it was asked to stop; 0 while it was not
     private long sweptUs;
+    private long now; // the clock when this turn began to gather
+    private boolean accepting = true;
 
     public Node(Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
             long connectUs, long keepUs, int descriptors) {
         this.core = core;
         this.clock = clock;
         this.mostTtlUs = mostTtlUs;
+        look();
+        startedUs = now;
         TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance();
         builder.setName("dillcross").setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
                 .setMemoryManager(new HeapMemoryManager()).setSelectorHandler(loop);
@@ -51,10 +61,10 @@
         int half = Math.max(4, (descriptors - SPARE_DESCRIPTORS) / 2);
         Map<String, Category> byName = new LinkedHashMap<>();
         categories.forEach(c -> byName.put(c.name(), c));
-        listener = new Listener(core, clock, byName, mostTtlUs, half);
+        listener = new Listener(core, this::now, byName, mostTtlUs, half);
         // A tenth early: the endpoint's clock for the idle limit began before ours.
-        endpoints = new Endpoints(transport, core, clock, connectUs, keepUs - keepUs / 10, half);
-        discovery = new Discovery(transport, core, clock, discoveryAddress, Math.max(connectUs, 1_000_000));
+        endpoints = new Endpoints(transport, core, this::now, connectUs, keepUs - keepUs / 10, half);
+        discovery = new Discovery(transport, core, this::now, discoveryAddress, Math.max(connectUs, 1_000_000));
     }
 
     public void start(InetSocketAddress listen) throws IOException {
@@ -63,8 +73,36 @@
                 .add(listener).build());
         TCPNIOServerConnection server = transport.bind(listen, BACKLOG);
         listener.serve(server);
-        listener.ready();
-        LOG.info(() -> "ready on " + listen);
+        InetSocketAddress own = (InetSocketAddress) server.getLocalAddress();
+        self = own.getAddress().getHostAddress() + ":" + own.getPort();
+        loop.wake();
+    }
+
+    /** Until it has answered for its own health often enough to be warm. */
+    public void awaitReady() throws InterruptedException {
+        ready.await();
+    }
+
+    /**
+     * Warms up before the first client comes: asks itself for its health, over real sockets and through every filter.
+     * The answers belong to no op, so the core passes them over.
+     */
+    private void rehearse() {
+        boolean enough = rehearsed >= REHEARSALS || now - startedUs > MOST_REHEARSAL_US;
+        if (self == null || !enough && endpoints.busy()) {
+            return;
+        }
+        for (int i = 0; i < 4 && !enough; i++) {
+            Map<String, String> fields = new LinkedHashMap<>(Map.of("host", self));
+            Message request = Message.request("GET", Names.HEALTH_PATH, fields, Message.nothing());
+            endpoints.push(new Order.Push(-1 - rehearsed++, 0, self, request, now + MOST_REHEARSAL_US));
+        }
+        if (enough) {
+            endpoints.drop(self);
+            listener.ready();
+            ready.countDown();
+            LOG.info(() -> "ready on " + self + " after " + (now - startedUs) / 1000 + " ms");
+        }
     }
 
     /** Stops accepting when new connections have ceased to come, answers what it has taken, then is done. */
@@ -74,26 +112,36 @@
         done.await();
     }
 
+    private void look() {
+        now = clock.getAsLong();
+    }
+
+    private long now() {
+        return now;
+    }
+
     private long dueInUs() {
         long due = Math.min(core.dueUs(), Math.min(endpoints.dueUs(), discovery.dueUs()));
-        long now = clock.getAsLong();
-        return stopUs > 0 ? Math.min(due - now, 5_000) : Math.min(due - now, 250_000);
+        return Math.min(due - clock.getAsLong(), stopUs > 0 ? 5_000 : 200_000);
     }
 
     private void turn() {
         try {
-            long now = clock.getAsLong();
+            look();
             endpoints.sweep(now);
             discovery.sweep(now);
             for (Order order; (order = core.next(now)) != null;) {
                 carryOut(order);
             }
+            if (ready.getCount() > 0) {
+                rehearse();
+            }
             if (now - sweptUs > 200_000) {
                 sweptUs = now;
                 listener.sweep(now);
             }
             if (stop) {
-                wind(now);
+                wind();
             }
         } catch (RuntimeException broken) {
             LOG.log(Level.SEVERE, "a turn of the loop failed", broken);
@@ -126,14 +174,17 @@
         return String.format(java.util.Locale.ROOT, "%d.%03d", ms / 1000, ms % 1000);
     }
 
-    private void wind(long now) {
+    private void wind() {
         if (stopUs == 0) {
             stopUs = now;
             LOG.info("stopping");
             listener.drain();
         }
         if (now - stopUs > ACCEPT_US) {
-            listener.stopAccepting();
+            if (accepting) {
+                accepting = false;
+                listener.stopAccepting();
+            }
             if (core.open() == 0 && listener.drained() || now - stopUs > mostTtlUs + ACCEPT_US + 150_000) {
                 done.countDown();
             }
--- /dev/null
+++ b/src/main/java/dillcross/net/Rehearsal.java
@@ -0,0 +1,50 @@
+package dillcross.net;
+
+import dillcross.Logic;
+import dillcross.model.Category;
+import dillcross.model.Endpoint;
+import dillcross.model.Endpoint.Health;
+import dillcross.sidecar.Core;
+import dillcross.sidecar.Ending;
+import dillcross.sidecar.Listed;
+import dillcross.sidecar.Order;
+import dillcross.sidecar.Reach;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Runs made-up ops through a core, a module and a codec of its own before the first client comes: code that has not run
+ * yet is slow, and the first ops after a start would pay for it. Nothing of it is kept.
+ */
+public final class Rehearsal {
+    private static final int OPS = 1000;
+
+    private Rehearsal() {
+    }
+
+    public static void run(Logic logic, List<Category> categories) {
+        Core core = new Core(logic);
+        List<Listed> list = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            list.add(new Listed(new Endpoint("e" + i, Health.UP, 0, i % 2, "", "", 1), "none"));
+        }
+        core.list(1, 1, true, list, false);
+        Ring ring = new Ring(1 << 17);
+        Message request = Message.request("POST", "/a/b", Map.of("host", "a", Names.ID, "1"), new byte[100]);
+        long now = 1;
+        for (int i = 0; i < OPS && !categories.isEmpty(); i++, now += 1000) {
+            ring.add(request.encoded());
+            Message read = new Reader(true).read(ring, false);
+            core.arrive(now, read, read, null, categories.get(i % categories.size()).name(), 500_000, false);
+            for (Order order; (order = core.next(now)) != null;) {
+                if (order instanceof Order.Push push) {
+                    ring.add(Message.answer(200, "ok").encoded());
+                    Message answer = new Reader(false).read(ring, false);
+                    core.ended(now, push.op(), push.push(), new Ending(push.op() % 50 == 0 ? Ending.Kind.BROKEN
+                            : Ending.Kind.ACKED, Reach.WHOLE_WRITTEN, answer));
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -17,6 +17,7 @@
  * itself: it keeps time for the module, and remembers which client waits for which op.
  */
 public final class Core {
+    private static final long LOST_US = 10_000; // after its TTL, an op that the module did not answer
     private static final long QUICK_WATCH_US = 100_000; // a list that answers at once, again and again, must not spin
 
     /** One push that is out. */
@@ -49,7 +50,7 @@
     /** Something that is due: a push or all of an op's to give up, the module to wake, the list to watch again. */
     private record Timer(long dueUs, long order, What what, long op, int push) { }
 
-    private enum What { PUSH_ENDS, OP_ENDS, WAKE, WATCH }
+    private enum What { PUSH_ENDS, OP_ENDS, OP_LOST, WAKE, WATCH }
 
     private final Logic logic;
     private final Map<Long, Op> ops = new HashMap<>();
@@ -99,6 +100,7 @@
         ops.put(id, new Op(client, content, nowUs + ttlUs));
         open++;
         timer(nowUs + ttlUs, What.OP_ENDS, id, 0);
+        timer(nowUs + ttlUs + LOST_US, What.OP_LOST, id, 0);
         logic.arrive(nowUs, id, tenant, category, ttlUs, repeat);
         return id;
     }
@@ -169,6 +171,13 @@
             case WAKE -> logic.woken(nowUs);
             case WATCH -> watch(nowUs);
             case PUSH_ENDS -> giveUp(due.op, op, due.push, true);
+            case OP_LOST -> {
+                if (op != null && !op.over) { // a fault in the module must not leave a client without an answer
+                    ready.add(new Order.DeadLetter(op.client));
+                    logic.left(nowUs, due.op);
+                    over(due.op, op);
+                }
+            }
             case OP_ENDS -> {
                 for (int i = 0; op != null && i < op.pushes.size(); i++) {
                     giveUp(due.op, op, i, true);
@@ -191,6 +200,11 @@
 
     private void carryOut(long nowUs, Decision decision) {
         Op op = ops.get(decision.op());
+        boolean known = op != null && (!op.over || decision.kind() == Decision.Kind.CANCEL);
+        boolean general = decision.kind() == Decision.Kind.LISTEN || decision.kind() == Decision.Kind.WAKE;
+        if (!known && !general) {
+            return;
+        }
         switch (decision.kind()) {
             case PUSH -> {
                 boolean limited = decision.us() > 0 && decision.us() < op.endUs;
