Tests of the sidecar: core, codec, configuration, and the built program on loopback

Core table: one case a row of the protocol's outcomes, at-most-once and deduplicated apart. ServeIT starts the built program: acked, each failure row, watch, drain, bad input, limit of connections, faulty key, SIGTERM. The codec's test found a fault: an empty line before a request, come in two pieces, was taken for the end of a head (Reader.readHead, the loop that skips them); mended. Configuration faults name the whole path of the key.

--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -13,8 +13,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What an instance is told at its start, by path, from path=value pairs or from a JSON file. The one place where it is
@@ -24,13 +26,16 @@
     private final Map<String, String> values;
     private final Map<?, ?> tree;
 
-    private Given(Map<String, String> values, Map<?, ?> tree) {
+    private final String at; // where in the whole its paths begin, for messages
+
+    private Given(Map<String, String> values, Map<?, ?> tree, String at) {
         this.values = values;
         this.tree = tree;
+        this.at = at;
     }
 
     public static Given pairs(Map<String, String> pairs) {
-        return new Given(pairs, Map.of());
+        return new Given(pairs, Map.of(), "");
     }
 
     /** The file, with {@code environment} for what it does not name. */
@@ -42,7 +47,7 @@
                 throw new FaultyKey(file.toString(), "not a JSON object");
             }
             flatten("", map, values);
-            return new Given(values, map);
+            return new Given(values, map, "");
         } catch (IOException | IllegalArgumentException e) {
             throw new FaultyKey(file.toString(), "can't be read as JSON: " + e.getMessage());
         }
@@ -71,7 +76,8 @@
                 part.put(key.substring(path.length() + 1), value);
             }
         });
-        return new Given(part, tree.get(path) instanceof Map<?, ?> map ? map : Map.of());
+        return new Given(part, tree.get(path) instanceof Map<?, ?> map ? map : Map.of(),
+                at + path + ".");
     }
 
     /** As it stands in the JSON file. */
@@ -99,12 +105,19 @@
 
     public List<Category> categories() {
         List<Category> categories = new ArrayList<>();
+        Set<String> names = new HashSet<>();
         for (int i = 0; i < number("categories.count", 0); i++) {
             String at = "categories." + i + ".";
-            categories.add(new Category(text(at + "name", "unnamed"), effect(text(at + "effect", "")),
+            if (!names.add(needed(at + "name"))) {
+                throw fault(at + "name", "stands twice: " + needed(at + "name"));
+            }
+            categories.add(new Category(needed(at + "name"), effect(text(at + "effect", "")),
                     group(text(at + "key_scope", "")), micros(at + "window_ms", 0),
                     Math.max(1, micros(at + "target_latency_ms", 1000)), number(at + "benefit", 1)));
         }
+        if (categories.isEmpty()) {
+            throw fault("categories", "is missing or empty");
+        }
         return categories;
     }
 
@@ -126,7 +139,11 @@
     }
 
     public int descriptors() {
-        return (int) number("limits.sockets", 1024);
+        double most = number("limits.sockets", 1024);
+        if (most < 128) {
+            throw fault("limits.sockets", "has to be 128 at least: " + (long) most);
+        }
+        return (int) most;
     }
 
     public long seed() {
@@ -134,7 +151,7 @@
         try {
             return Long.parseUnsignedLong(seed, 16);
         } catch (NumberFormatException e) {
-            throw new FaultyKey("seed", "not a hexadecimal number of 64 bits: " + seed);
+            throw fault("seed", "not a hexadecimal number of 64 bits: " + seed);
         }
     }
 
@@ -142,7 +159,7 @@
     public String needed(String path) {
         String value = text(path, null);
         if (value == null) {
-            throw new FaultyKey(path, "is missing");
+            throw fault(path, "is missing");
         }
         return value;
     }
@@ -164,6 +181,10 @@
         };
     }
 
+    private FaultyKey fault(String path, String what) {
+        return new FaultyKey(at + path, what);
+    }
+
     private String text(String path, String ifAbsent) {
         String value = values.get(path);
         return value == null || value.isEmpty() || value.equals("-") ? ifAbsent : value;
@@ -171,16 +192,26 @@
 
     private boolean flag(String path) {
         String value = text(path, "false");
+        if (!Set.of("true", "false", "1", "0").contains(value)) {
+            throw fault(path, "neither true nor false: " + value);
+        }
         return value.equals("true") || value.equals("1");
     }
 
     private double number(String path, double ifAbsent) {
         String value = text(path, null);
+        if (value == null && values.containsKey(path + ".count")) {
+            throw fault(path, "is a list and not a number");
+        }
         try {
-            return value == null ? ifAbsent : Double.parseDouble(value);
+            double number = value == null ? ifAbsent : Double.parseDouble(value);
+            if (number >= 0 && number < 1e15) {
+                return number;
+            }
         } catch (NumberFormatException e) {
-            throw new FaultyKey(path, "not a number: " + value);
+            throw fault(path, "not a number: " + value);
         }
+        throw fault(path, "out of range: " + value);
     }
 
     private long micros(String path, double ifAbsentMs) {
--- a/src/main/java/dillcross/net/Reader.java
+++ b/src/main/java/dillcross/net/Reader.java
@@ -163,8 +163,9 @@
     }
 
     private boolean readHead(Ring in) {
-        while (scanned == 0 && in.size() > 1 && in.at(0) == '\r' && in.at(1) == '\n') {
+        while (in.size() > 1 && in.at(0) == '\r' && in.at(1) == '\n') {
             in.skip(2); // empty lines before a message are allowed
+            scanned = 0;
         }
         int end = -1;
         for (int i = Math.max(0, scanned - 3); i + 3 < in.size() && end < 0; i++) {
--- /dev/null
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -0,0 +1,378 @@
+package dillcross.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Starts the built program and speaks to it over loopback, with small stand-ins for endpoints and discovery. */
+@Timeout(60)
+class ServeIT {
+    private static final String BODY = "caf\u00e9 \u0001 body";
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    @TempDir
+    private Path folder;
+    private final StandIn a = standIn();
+    private final StandIn b = standIn();
+    private final StandIn discovery = standIn();
+    private Process process;
+    private BufferedReader log;
+    private int port;
+
+    private static String read(InputStream in, int count) throws IOException {
+        return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads one message: its head and its body; "" where the other side closed first. */
+    private static String message(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return head.toString();
+            }
+            head.append((char) c);
+        }
+        Matcher length = Pattern.compile("(?i)content-length: *([0-9]+)").matcher(head);
+        return head + (length.find() ? read(in, Integer.parseInt(length.group(1))) : "");
+    }
+
+    private static String answer(int status, String fields, String body) {
+        return "HTTP/1.1 " + status + " x\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** An endpoint that does what the path asks for, and discovery, whose list a test sets. */
+    private static final class StandIn implements AutoCloseable {
+        final ServerSocket server;
+        final Map<String, Integer> got = new ConcurrentHashMap<>(); // requests by path
+        final List<String> requests = java.util.Collections.synchronizedList(new ArrayList<>());
+        private String list = ""; // what changed in the version below
+        private int version = 1;
+        private int asked; // the version that the last watch had
+
+        StandIn() throws IOException {
+            server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+            start(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    start(() -> serve(socket));
+                }
+            });
+        }
+
+        private interface Task {
+            void run() throws Exception;
+        }
+
+        private static void start(Task task) {
+            Thread thread = new Thread(() -> {
+                try {
+                    task.run();
+                } catch (Exception closed) {
+                    Thread.currentThread().interrupt(); // the other side or the test has gone
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void serve(Socket socket) throws Exception {
+            try (socket) {
+                for (String m; !(m = message(socket.getInputStream())).isEmpty();) {
+                    requests.add(m);
+                    String path = m.split(" ")[1];
+                    got.merge(path, 1, Integer::sum);
+                    String what = path.substring(path.lastIndexOf('/') + 1);
+                    String reply = path.startsWith("/v1/") ? watch(path) : switch (what) {
+                        case "500" -> answer(500, "", "");
+                        case "full" -> answer(503, "Not-Started: 1\r\n", "");
+                        case "plain503" -> answer(503, "", "");
+                        case "cut" -> answer(200, "", BODY).substring(0, 50);
+                        case "garbled" -> "hello\r\n\r\n";
+                        case "reset" -> "";
+                        case "chunked" -> "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(BODY.length())
+                                + "\r\n" + BODY + "\r\n0\r\n\r\n";
+                        default -> answer(200, "Content-Type: text/odd\r\nServer-Load: TEXT queue=1\r\n", BODY);
+                    };
+                    if (what.equals("hang")) {
+                        new CountDownLatch(1).await();
+                    } else if (what.equals("slow")) {
+                        Thread.sleep(700);
+                    }
+                    socket.getOutputStream().write(reply.getBytes(StandardCharsets.ISO_8859_1));
+                    if (List.of("cut", "reset", "garbled").contains(what)) {
+                        return;
+                    }
+                }
+            }
+        }
+
+        private synchronized String watch(String path) throws InterruptedException {
+            int since = Integer.parseInt(path.replaceAll(".*since=([0-9]+).*", "$1"));
+            asked = since;
+            notifyAll();
+            while (since >= version) {
+                wait();
+            }
+            return answer(200, "", "{\"version\":" + version + ",\"full\":false,\"servers\":[" + list + "]}");
+        }
+
+        /** Tells it, and waits until the sidecar has asked for what comes after. */
+        synchronized void tell(String entries) throws InterruptedException {
+            list = entries;
+            version++;
+            notifyAll();
+            while (asked < version) {
+                wait();
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    private StandIn standIn() {
+        try {
+            StandIn made = new StandIn();
+            toClose.add(made);
+            return made;
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static String entry(String id, String state, String address) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"east\",\"kind\":\"k\",\"cell\":1,\"state\":\"" + state
+                + "\",\"weight\":1.0,\"started_ms\":0}";
+    }
+
+    /** Starts it; with a list of endpoints. */
+    private void start(String servers, String... changes) throws IOException {
+        String config = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address() + "\",\"seed\":\"1f\","
+                + "\"limits\":{\"sockets\":256},\"known\":{\"version\":1,\"full\":true,\"servers\":[" + servers + "]},"
+                + "\"settings\":{\"locality\":\"east\",\"balancers\":1,\"categories\":["
+                + "{\"name\":\"read\",\"effect\":\"idempotent\",\"target_latency_ms\":400,\"ttl_ms\":2000},"
+                + "{\"name\":\"buy\",\"effect\":\"deduplicated\",\"key_scope\":\"cell\",\"window_ms\":2000,\"target_latency_ms\":400,\"ttl_ms\":2000}],"
+                + "\"limits\":{\"max_pushes\":3,\"may_duplicate\":true,\"cancel\":true,\"connect_timeout_ms\":250,\"keepalive_ms\":9000},"
+                + "\"rules\":{\"ask_within_ms\":600}}}";
+        for (int i = 0; i < changes.length; i += 2) {
+            config = config.replace(changes[i], changes[i + 1]);
+        }
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx40m",
+                "-XX:+UseSerialGC", "-jar", "target/dillcross.jar", "serve", "--config", file.toString()).start();
+        log = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
+    }
+
+    private void serving(String servers) throws IOException {
+        start(servers);
+        for (String line; (line = log.readLine()) != null;) {
+            Matcher ready = Pattern.compile("ready on 127.0.0.1:([0-9]+)").matcher(line);
+            if (ready.find()) {
+                port = Integer.parseInt(ready.group(1));
+                return;
+            }
+        }
+        throw new AssertionError("it did not start");
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+        for (AutoCloseable open : toClose) {
+            open.close();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(20_000);
+        toClose.add(socket);
+        return socket;
+    }
+
+    private static String post(String path, int timeoutMs) {
+        return "POST " + path + " HTTP/1.1\r\nHost: app\r\nRequest-Id: 77\r\nRequest-Timeout-Ms: " + timeoutMs
+                + "\r\nIdempotency-Key: k9\r\nX-Trace: t\r\nContent-Length: 3\r\n\r\nabc";
+    }
+
+    private static String ask(Socket socket, String request) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return message(socket.getInputStream());
+    }
+
+    private static String status(String answer) {
+        return answer.isEmpty() ? "closed" : answer.split(" ")[1];
+    }
+
+    /** Each row of the protocol's outcomes, for an op whose repeat only the endpoint's own cell would recognise. */
+    @ParameterizedTest
+    @CsvSource({"ok,200", "chunked,200", "500,502", "plain503,502", "full,503", "cut,502", "garbled,502", "reset,502", "hang,502"})
+    void eachOutcome(String what, String status) throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        String answer = ask(socket, post("/buy/x/" + what, 600));
+        assertEquals(status, status(answer), answer);
+        assertEquals(1, a.got.get("/buy/x/" + what), "pushed once");
+        String pushed = a.requests.get(0);
+        assertTrue(pushed.contains("request-id: 77\r\n") && pushed.contains("idempotency-key: k9\r\n")
+                && pushed.contains("x-trace: t\r\n") && pushed.endsWith("\r\n\r\nabc"), pushed);
+        int waitMs = Integer.parseInt(pushed.replaceAll("(?s).*request-timeout-ms: ([0-9]+).*", "$1"));
+        assertTrue(waitMs > 0 && waitMs <= 600, pushed);
+        if (status.equals("200")) {
+            assertTrue(answer.endsWith("\r\n\r\n" + BODY), answer);
+        }
+        String after;
+        do { // the module may stay away from it for a moment
+            after = status(ask(socket, post("/read/ok", 2000)));
+        } while (after.equals("503"));
+        assertEquals("200", after, "the connection and the sidecar live on");
+    }
+
+    @Test
+    void whatNeverConnectsIsNacked() throws Exception {
+        a.close();
+        serving(entry("a", "in_service", a.address()));
+        assertEquals("503", status(ask(connect(), post("/buy/ok", 600))));
+    }
+
+    @Test
+    void aClientThatLeavesTakesItsPushWithIt() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        socket.getOutputStream().write(post("/buy/hang", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        while (!a.got.containsKey("/buy/hang")) {
+            Thread.sleep(5);
+        }
+        socket.close();
+        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))));
+    }
+
+    @Test
+    void connectionsAreUsedAgain() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        for (int i = 0; i < 50; i++) {
+            assertEquals("200", status(ask(socket, "GET /read/" + i + "?q=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + i
+                    + "\r\nRequest-Timeout-Ms: 2000\r\n\r\n")));
+        }
+        assertEquals(50, a.requests.size());
+        assertTrue(a.requests.get(7).startsWith("GET /read/7?q=1 HTTP/1.1\r\n"), a.requests.get(7));
+    }
+
+    /** The watch brings a new endpoint, and the end of another; from then on that one gets nothing. */
+    @Test
+    void theListIsFollowedAndDrainsAreKept() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        assertEquals("200", status(ask(socket, post("/read/before", 2000))));
+        discovery.tell(entry("b", "in_service", b.address()) + "," + entry("a", "terminating", a.address()));
+        int before = a.requests.size();
+        for (int i = 0; i < 20; i++) {
+            assertEquals("200", status(ask(socket, post("/read/after", 2000))));
+        }
+        assertEquals(before, a.requests.size());
+        assertEquals(20, b.got.get("/read/after"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"nonsense\r\n\r\n", "GET /read/x HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 9\r\n\r\n",
+        "POST /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 70000\r\n\r\n",
+        "GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: soon\r\n\r\n",
+        "GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n", "GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: 900\r\n\r\n",
+        "GET /unheard/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\n\r\n",
+        "DELETE /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\n\r\n",
+        "POST /buy/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 0\r\n\r\n"})
+    void badInputIsRefusedAndGoesNoFurther(String request) throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        String answer = ask(socket, request);
+        assertTrue(status(answer).startsWith("4") && !status(answer).equals("429"), answer);
+        assertEquals(-1, socket.getInputStream().read(), "closed");
+        assertTrue(a.requests.isEmpty());
+        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))), "and it lives on");
+    }
+
+    /** More clients than there are descriptors: some wait, none brings it down, and it serves when they have gone. */
+    @Test
+    void atTheLimitOfConnectionsItLives() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        List<Socket> held = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            held.add(connect());
+            held.get(i).getOutputStream().write('G'); // not idle: the rest of it may come
+        }
+        for (Socket socket : held) {
+            socket.close();
+        }
+        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))));
+        assertTrue(process.isAlive());
+    }
+
+    @Test
+    void aFaultyKeyIsNamed() throws Exception {
+        start(entry("a", "in_service", a.address()), "\"ask_within_ms\":600", "\"ask_within_ms\":\"often\"");
+        assertEquals(2, process.waitFor());
+        String said = String.join("\n", log.lines().toList());
+        assertTrue(said.contains("settings.rules.ask_within_ms"), said);
+    }
+
+    /** At a planned restart it still accepts, answers all that it has taken, and closes each connection after. */
+    @Test
+    void aPlannedStopAnswersAll() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket idle = connect();
+        assertEquals("200", status(ask(idle, post("/read/ok", 2000))));
+        Socket busy = connect();
+        busy.getOutputStream().write(post("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        while (!a.got.containsKey("/buy/slow")) {
+            Thread.sleep(5);
+        }
+        process.destroy(); // SIGTERM
+        assertEquals(-1, idle.getInputStream().read(), "what carries nothing is closed");
+        String late = ask(connect(), post("/read/ok", 2000));
+        assertEquals("200", status(late), "a new connection is still served");
+        assertTrue(late.contains("connection: close"), late);
+        String answer = message(busy.getInputStream());
+        assertEquals("200", status(answer));
+        assertTrue(answer.contains("connection: close"), answer);
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertFalse(process.isAlive());
+    }
+}
--- /dev/null
+++ b/src/test/java/dillcross/config/GivenTest.java
@@ -0,0 +1,54 @@
+package dillcross.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class GivenTest {
+    @TempDir
+    private Path folder;
+
+    private Given given(String json) throws IOException {
+        return Given.file(Files.writeString(folder.resolve("c.json"), json), Map.of("listen", "from-env", "name", "x"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '!', value = {
+        "{\"settings\":{\"rules\":{\"fall_ms\":\"soon\"}}}!settings.rules.fall_ms",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\",\"target_latency_ms\":[]}]}}!settings.categories.0.target_latency_ms",
+        "{\"settings\":{\"categories\":[{\"effect\":\"idempotent\"}]}}!settings.categories.0.name",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"},{\"name\":\"a\"}]}}!settings.categories.1.name",
+        "{\"settings\":{\"categories\":[]}}!settings.categories",
+        "{\"settings\":{\"limits\":{\"cancel\":\"maybe\"}}}!settings.limits.cancel",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"limits\":{\"connect_timeout_ms\":-5}}}!settings.limits.connect_timeout_ms",
+        "{\"seed\":\"xyz\"}!seed", "{\"limits\":{\"sockets\":3}}!limits.sockets", "{!c.json"})
+    void aFaultNamesItsKey(String json, String key) {
+        var fault = assertThrows(FaultyKey.class, () -> {
+            Given given = given(json);
+            given.seed();
+            given.descriptors();
+            Given settings = given.below("settings");
+            settings.instance(1);
+            settings.connectUs();
+        });
+        assertTrue(fault.getMessage().startsWith(key) || fault.getMessage().contains(key + ":"), fault.getMessage());
+    }
+
+    @Test
+    void theFileComesBeforeTheEnvironment() throws IOException {
+        Given given = given("{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\"}");
+        assertEquals("n1", given.needed("name"));
+        assertEquals("from-env", given.needed("listen"));
+        assertEquals(0x8c1f30d27a5be964L, given.seed());
+        assertEquals("discovery: is missing", assertThrows(FaultyKey.class, () -> given.needed("discovery")).getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/dillcross/net/ReaderTest.java
@@ -0,0 +1,123 @@
+package dillcross.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ReaderTest {
+    private static byte[] bytes(String text) {
+        return text.replace("|", "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static Message read(Reader reader, String text, boolean ended) {
+        Ring ring = new Ring(1 << 17);
+        assertTrue(ring.add(bytes(text)));
+        return reader.read(ring, ended);
+    }
+
+    /** The same message whatever the pieces it comes in. */
+    @ParameterizedTest
+    @ValueSource(strings = {"POST /buy/1?x=2 HTTP/1.1|Host: a|Content-Length: 5||hello", "||POST /buy HTTP/1.1|host:a|x: 1|X: 2|content-length: 5||hello",
+        "POST /buy HTTP/1.1|Host: a|Transfer-Encoding: chunked||3|hel|2;ext=1|lo|0|Trailer: x||"})
+    void requestsAreReadBitByBit(String text) {
+        Ring ring = new Ring(1 << 17);
+        Reader reader = new Reader(true);
+        Message whole = null;
+        byte[] all = bytes(text);
+        for (int i = 0; i < all.length; i++) {
+            assertNull(whole, "not before the last byte");
+            ring.add(new byte[] {all[i]});
+            whole = reader.read(ring, false);
+        }
+        assertNotNull(whole);
+        assertEquals("hello", new String(whole.body(), StandardCharsets.US_ASCII));
+        assertTrue(whole.second().startsWith("/buy"));
+        assertEquals(0, ring.size());
+        assertEquals(0, reader.fault());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '!', value = {"hello!0", "hello||!400", "GET  /x HTTP/1.1|Host: a||!400", "GET /x HTTP/2.0|Host: a||!400",
+        "GET x HTTP/1.1|Host: a||!400", "G(T /x HTTP/1.1|Host: a||!400", "GET /x HTTP/1.1||!400", "GET /x HTTP/1.1|Host: a|Host: b||!400",
+        "GET /x HTTP/1.1|Host : a||!400", "GET /x HTTP/1.1|Host: a| folded: b||!400", "GET /x HTTP/1.1|Host: a|y: \u0001||!400",
+        "POST /x HTTP/1.1|Host: a|Content-Length: 1|Content-Length: 2||a!400",
+        "POST /x HTTP/1.1|Host: a|Content-Length: 1|Transfer-Encoding: chunked||a!400",
+        "POST /x HTTP/1.1|Host: a|Content-Length: -1||!400", "POST /x HTTP/1.1|Host: a|Content-Length: 1x||!400",
+        "POST /x HTTP/1.1|Host: a|Content-Length: 65537||!413", "POST /x HTTP/1.1|Host: a|Content-Length: 9999999999999999999||!400",
+        "POST /x HTTP/1.1|Host: a|Transfer-Encoding: gzip||!400", "POST /x HTTP/1.1|Host: a|Transfer-Encoding: chunked||zz|!400",
+        "POST /x HTTP/1.1|Host: a|Transfer-Encoding: chunked||fffffff|!413", "POST /x HTTP/1.1|Host: a|Transfer-Encoding: chunked||1|abc!400",
+        "POST /x HTTP/1.0|Transfer-Encoding: chunked||!400"})
+    void badRequestsAreFaults(String text, int status) {
+        Reader reader = new Reader(true);
+        assertNull(read(reader, text, false));
+        assertEquals(status, reader.fault());
+    }
+
+    @Test
+    void aHeadWithoutAnEndIsAFault() {
+        Reader reader = new Reader(true);
+        assertNull(read(reader, "GET /x HTTP/1.1|a: " + "b".repeat(17_000), false));
+        assertEquals(431, reader.fault());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '!', value = {"HTTP/1.1 200 OK|Content-Length: 2||ab!false!ab", "HTTP/1.1 200 OK|Content-Length: 3||ab!true!-",
+        "HTTP/1.1 200 OK||ab!true!ab", "HTTP/1.1 200 OK||ab!false!-", "HTTP/1.1 100 Continue||HTTP/1.1 200 OK|content-length: 1||c!false!c",
+        "HTTP/1.1 204 None||!false!''", "HTTP/1.1 200|Transfer-Encoding: chunked||1|a|0||!false!a", "HTTP/1.1 200|Transfer-Encoding: chunked||1|a|!true!-"})
+    void answersAreWholeOrNone(String text, boolean ended, String body) {
+        Message answer = read(new Reader(false), text, ended);
+        assertEquals(body, answer == null ? "-" : new String(answer.body(), StandardCharsets.US_ASCII));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '!', value = {"GET /x HTTP/1.1|Host: a||!true", "GET /x HTTP/1.1|Host: a|Connection: close||!false",
+        "GET /x HTTP/1.0||!false", "GET /x HTTP/1.0|Connection: keep-alive||!true"})
+    void connectionsAreKeptAsAsked(String text, boolean kept) {
+        assertEquals(kept, read(new Reader(true), text, false).keepsAlive());
+    }
+
+    @Test
+    void fieldsOfTheHopAreNotPassedOn() {
+        Message m = read(new Reader(true), "GET /x HTTP/1.1|Host: a|Connection: x-mine|X-Mine: 1|Keep-Alive: 5|X-Other: 2||", false);
+        assertEquals("{host=a, x-other=2}", m.passedOn().toString());
+    }
+
+    /** A ring gives back what went in, whatever the pieces, and has a limit. */
+    @Test
+    void aRingKeepsOrderAndLimit() {
+        Random random = new Random(4);
+        Ring ring = new Ring(1 << 12);
+        int in = 0;
+        int out = 0;
+        for (int step = 0; step < 20_000; step++) {
+            byte[] piece = new byte[random.nextInt(700)];
+            for (int i = 0; i < piece.length; i++) {
+                piece[i] = (byte) (in + i);
+            }
+            boolean fits = ring.size() + piece.length <= 1 << 12;
+            assertEquals(fits, ring.add(piece));
+            in += fits ? piece.length : 0;
+            int count = random.nextInt(ring.size() + 1);
+            byte[] got = new byte[count];
+            byte[] want = new byte[count];
+            ring.copy(0, got, 0, count);
+            for (int i = 0; i < count; i++) {
+                want[i] = (byte) (out + i);
+            }
+            assertArrayEquals(want, got);
+            ring.skip(count);
+            out += count;
+        }
+        assertFalse(ring.add(new byte[5000]));
+    }
+}
--- /dev/null
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -0,0 +1,167 @@
+package dillcross.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dillcross.Logic;
+import dillcross.model.Category;
+import dillcross.model.ColdRule;
+import dillcross.model.Effect;
+import dillcross.model.Endpoint;
+import dillcross.model.Endpoint.Health;
+import dillcross.model.Group;
+import dillcross.model.PushRule;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CoreTest {
+    private static final long TTL_US = 500_000;
+    private final Core core = new Core(new Logic(1, "east", 0, 1, List.of(
+            new Category("buy", Effect.DEDUPLICATED, Group.CELL, 2_000_000, 400_000, 1),
+            new Category("read", Effect.REDELIVERABLE, Group.ALL, 0, 400_000, 1),
+            new Category("once", Effect.AT_MOST_ONCE, Group.ALL, 0, 400_000, 1)), List.of(),
+            new ColdRule(0.3, 1_000_000, 3, 1_000_000), new PushRule(3, true, true), false, true, 10_000_000, 1_000_000, 0));
+    private long now = 1_000_000_000;
+    private Reach reach = Reach.WHOLE_WRITTEN; // of a push that the core gives up
+    private boolean restless; // the network reports a given-up push at once, unless this is set
+
+    private static Listed listed(String id, Health health, String address) {
+        return new Listed(new Endpoint(id, health, 0, 1, "east", "", 1), address);
+    }
+
+    private List<Order> pull() {
+        List<Order> orders = new ArrayList<>();
+        for (Order order; (order = core.next(now)) != null;) {
+            orders.add(order);
+            if (order instanceof Order.GiveUp up && !restless) {
+                core.ended(now, up.op(), up.push(), new Ending(Ending.Kind.GIVEN_UP, reach, null));
+            }
+        }
+        return orders;
+    }
+
+    private List<Order> pass(long us) {
+        List<Order> orders = pull();
+        for (long end = now + us; core.dueUs() <= end;) {
+            now = Math.max(now, core.dueUs());
+            orders.addAll(pull());
+        }
+        return orders;
+    }
+
+    private Order.Push push(String category) {
+        core.arrive(now, "client", "content", null, category, TTL_US, false);
+        return pull().stream().filter(o -> o instanceof Order.Push).map(o -> (Order.Push) o).findFirst().orElseThrow();
+    }
+
+    private static <T extends Order> List<T> only(Class<T> kind, List<Order> orders) {
+        return orders.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    private static String answers(List<Order> orders) {
+        return String.join(" ", orders.stream().filter(o -> !(o instanceof Order.Push || o instanceof Order.GiveUp
+                || o instanceof Order.Watch)).map(o -> o.getClass().getSimpleName()).toList());
+    }
+
+    /** Each row of the protocol's outcomes: what never ran may be tried again by the client, what may have run not. */
+    @ParameterizedTest
+    @CsvSource({"buy,ACKED,WHOLE_WRITTEN,Ack", "buy,ERROR,WHOLE_WRITTEN,DeadLetter", "buy,TURNED_AWAY,WHOLE_WRITTEN,Nack",
+        "buy,BROKEN,NOT_CONNECTED,Nack", "buy,BROKEN,PARTLY_WRITTEN,Nack", "buy,BROKEN,WHOLE_WRITTEN,DeadLetter",
+        "once,ERROR,WHOLE_WRITTEN,DeadLetter", "once,TURNED_AWAY,WHOLE_WRITTEN,Nack",
+        "once,BROKEN,PARTLY_WRITTEN,Nack", "once,BROKEN,WHOLE_WRITTEN,DeadLetter",
+        "read,ACKED,WHOLE_WRITTEN,Ack", "read,ERROR,WHOLE_WRITTEN,Nack", "read,BROKEN,WHOLE_WRITTEN,Nack"})
+    void eachOutcomeGetsItsAnswer(String category, Ending.Kind kind, Reach came, String answer) {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        Order.Push push = push(category);
+        core.ended(now += 10_000, push.op(), push.push(), new Ending(kind, came, "body"));
+        List<Order> orders = pull();
+        assertEquals(answer, answers(orders), orders::toString);
+        only(Order.Ack.class, orders).forEach(a -> assertEquals(new Order.Ack("client", "body"), a));
+        assertEquals("", answers(pass(5_000_000)), "one final answer only");
+        assertEquals(0, core.open());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"buy,WHOLE_WRITTEN,DeadLetter", "buy,PARTLY_WRITTEN,Nack", "buy,NOT_CONNECTED,Nack", "once,WHOLE_WRITTEN,DeadLetter",
+        "once,PARTLY_WRITTEN,Nack", "read,WHOLE_WRITTEN,Nack"})
+    void whatIsOutAtItsTtlIsGivenUpAndAnswered(String category, Reach came, String answer) {
+        reach = came;
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        long endUs = now + TTL_US;
+        Order.Push push = push(category);
+        assertEquals(endUs, push.untilUs());
+        assertEquals(answer, answers(pass(TTL_US)));
+        assertEquals(endUs, now, "at its TTL, not later");
+    }
+
+    /** A network that does not even report must not leave a client without an answer. */
+    @Test
+    void anOpThatNothingAnswersIsDeadLettered() {
+        restless = true;
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        push("buy");
+        assertEquals("DeadLetter", answers(pass(TTL_US + 50_000)));
+        assertEquals(0, core.open());
+    }
+
+    @Test
+    void aClientThatLeftIsOwedNothing() {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        Order.Push push = push("buy");
+        core.left(now, push.op());
+        List<Order> orders = pull();
+        assertEquals(1, only(Order.GiveUp.class, orders).size(), "its push is called back");
+        assertEquals("", answers(orders) + answers(pass(TTL_US)));
+        core.ended(now, push.op(), push.push(), new Ending(Ending.Kind.ACKED, Reach.WHOLE_WRITTEN, "late"));
+        assertEquals("", answers(pull()), "nor what comes late");
+    }
+
+    /** The id is who it is; the address is where it is now. */
+    @Test
+    void anEndpointIsPushedToWhereTheListLastSaid() {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        assertEquals("h:1", push("read").address());
+        core.list(now, 2, false, List.of(listed("a", Health.UP, "h:2")), false);
+        assertEquals("h:2", push("read").address());
+    }
+
+    @Test
+    void aWatchGoesOnAfterEachAnswer() {
+        core.list(now, 7, true, List.of(listed("a", Health.UP, "h:1")), false);
+        assertEquals(List.of(new Order.Watch(7)), only(Order.Watch.class, pass(4_000_000)), "the module asks once");
+        core.list(now, 8, false, List.of(listed("b", Health.UP, "h:2")), true);
+        long told = now;
+        assertEquals(List.of(new Order.Watch(8)), only(Order.Watch.class, pass(200_000)), "and then it goes on");
+        assertTrue(now - told <= 200_000);
+        core.list(now, 3, false, List.of(), true);
+        assertEquals(List.of(new Order.Watch(0)), only(Order.Watch.class, pass(200_000)), "numbers that began anew");
+    }
+
+    @Test
+    void aListThatAnswersAtOnceAgainAndAgainDoesNotSpin() {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        pass(4_000_000);
+        int asked = 0;
+        for (long end = now + 1_000_000; now < end; asked++) {
+            core.list(now, 1, false, List.of(), true);
+            assertFalse(only(Order.Watch.class, pass(200_000)).isEmpty());
+        }
+        assertTrue(asked <= 11, () -> "asked too often");
+    }
+
+    @Test
+    void whatDrainsGetsNothingNew() {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1"), listed("b", Health.UP, "h:2")), false);
+        core.list(now, 2, false, List.of(listed("a", Health.DRAINING, "h:1")), false);
+        for (int i = 0; i < 20; i++) {
+            Order.Push push = push("read");
+            assertEquals("h:2", push.address());
+            core.ended(now += 20_000, push.op(), push.push(), new Ending(Ending.Kind.ACKED, Reach.WHOLE_WRITTEN, ""));
+            pull();
+        }
+    }
+}
