All rings share a budget: many large messages at once no longer pass the memory

Checked by arithmetic: 480 clients with bodies of 64 KiB take 128 KiB of ring each way, over 100 MB on a heap of 40. Rings now grow only within a quarter of the heap (Ring.grow, Budget); a request that finds no room is turned away before anything of it went further, an answer that finds none ends as a reset.

--- a/src/main/java/dillcross/net/Connector.java
+++ b/src/main/java/dillcross/net/Connector.java
@@ -14,17 +14,19 @@
 
 /** Opens connections whose top filter is the given one; each has its link before it is up, so that it can be given up. */
 final class Connector extends TCPNIOConnectorHandler {
+    private final Budget budget;
     private Link opening;
 
-    Connector(TCPNIOTransport transport, Filter top) {
+    Connector(TCPNIOTransport transport, Filter top, Budget budget) {
         super(transport);
+        this.budget = budget;
         setProcessor(FilterChainBuilder.stateless().add(new RingFilter()).add(new HttpFilter(false)).add(top).build());
     }
 
     @Override
     @SuppressWarnings("rawtypes")
     protected void preConfigure(Connection connection) {
-        opening = new Link((NIOConnection) connection, false);
+        opening = new Link((NIOConnection) connection, false, budget);
     }
 
     /** {@code done} hears once, with the link where it is up and with null where it can't be had. */
--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -24,12 +24,13 @@
     private Order.Watch asked; // null while no call is out
     private long limitUs;
 
-    Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, long connectUs) {
+    Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, long connectUs,
+            Budget budget) {
         this.core = core;
         this.clock = clock;
         this.address = address;
         this.connectUs = connectUs;
-        connector = new Connector(transport, this);
+        connector = new Connector(transport, this, budget);
     }
 
     void watch(Order.Watch order) {
@@ -98,10 +99,12 @@
 
     @Override
     public NextAction handleClose(FilterChainContext ctx) {
-        if (Link.of(ctx.getConnection()) == link) {
+        Link closed = Link.of(ctx.getConnection());
+        if (closed == link) {
             link = null;
             fail();
         }
+        closed.free();
         return ctx.getInvokeAction();
     }
 
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -49,13 +49,14 @@
     private int open;
     private long sweptUs;
 
-    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, long connectUs, long idleUs, int most) {
+    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, long connectUs, long idleUs, int most,
+            Budget budget) {
         this.core = core;
         this.clock = clock;
         this.connectUs = connectUs;
         this.idleUs = idleUs;
         this.most = most;
-        connector = new Connector(transport, this);
+        connector = new Connector(transport, this, budget);
     }
 
     void push(Order.Push push) {
@@ -193,6 +194,7 @@
         if (link.user != null) {
             end((Exchange) link.user, Ending.Kind.BROKEN, null);
         }
+        link.free();
         return ctx.getInvokeAction();
     }
 
--- a/src/main/java/dillcross/net/HttpFilter.java
+++ b/src/main/java/dillcross/net/HttpFilter.java
@@ -8,6 +8,7 @@
 /** Bytes of the rings to messages and back. One message at a time goes up; the next waits in the ring. */
 final class HttpFilter extends BaseFilter {
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final int NO_MEMORY = 503; // nothing of it has gone further, so another try is harmless
     private final boolean server;
 
     HttpFilter(boolean server) {
@@ -25,8 +26,9 @@
                 link.out.add(CONTINUE);
                 link.flush();
             }
-            if (message != null || link.reader.fault() != 0) {
-                ctx.setMessage(message == null ? link.reader.fault() : message);
+            int fault = link.reader.fault() == 0 && server && link.in.starved() ? NO_MEMORY : link.reader.fault();
+            if (message != null || fault != 0) {
+                ctx.setMessage(message == null ? fault : message);
                 return ctx.getInvokeAction();
             }
         }
@@ -40,7 +42,7 @@
     public NextAction handleWrite(FilterChainContext ctx) {
         Link link = Link.of(ctx.getConnection());
         Message message = ctx.getMessage();
-        if (!link.out.add(message.encoded())) {
+        if (!link.add(message.encoded())) {
             link.close();
             return ctx.getStopAction();
         }
--- a/src/main/java/dillcross/net/Link.java
+++ b/src/main/java/dillcross/net/Link.java
@@ -20,8 +20,8 @@
     private static final Attribute<Link> OF = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("dillcross.link");
 
     final NIOConnection connection;
-    final Ring in = new Ring(MOST);
-    final Ring out = new Ring(MOST);
+    final Ring in;
+    final Ring out;
     final Reader reader;
     Object user; // the exchange that it carries; null while idle
     boolean connected;
@@ -30,10 +30,13 @@
     boolean closing; // to be closed when all is written
     long idleUs; // since when it carries none
     long partialUs; // since when it holds a part of a request; 0 while it does not
+    private boolean unsent; // there was no room for its last message
     private boolean writing;
 
-    Link(NIOConnection connection, boolean requests) {
+    Link(NIOConnection connection, boolean requests, Budget budget) {
         this.connection = connection;
+        in = new Ring(MOST, budget);
+        out = new Ring(MOST, budget);
         reader = new Reader(requests);
         OF.set(connection, this);
     }
@@ -52,8 +55,14 @@
         }
     }
 
+    /** Puts a message in to be written; false where there is no room for it, and then nothing of it is sent. */
+    boolean add(byte[] message) {
+        unsent = !out.add(message);
+        return !unsent;
+    }
+
     boolean written() {
-        return connected && out.size() == 0;
+        return connected && !unsent && out.size() == 0;
     }
 
     /** Hands the ring's bytes to the transport, run by run; its queue takes over where the socket is full. */
@@ -93,6 +102,12 @@
         }
     }
 
+    /** After its close was told to all: its room goes to others. */
+    void free() {
+        in.free();
+        out.free();
+    }
+
     void close() {
         connection.terminateSilently();
     }
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -27,18 +27,21 @@
     private final Map<String, Category> categories;
     private final long mostTtlUs;
     private final int most; // connections
+    private final Budget budget;
     private final Set<Link> links = new LinkedHashSet<>();
     private TCPNIOServerConnection server;
     private boolean paused;
     private boolean ready;
     private boolean draining;
 
-    Listener(Core core, LongSupplier clock, Map<String, Category> categories, long mostTtlUs, int most) {
+    Listener(Core core, LongSupplier clock, Map<String, Category> categories, long mostTtlUs, int most,
+            Budget budget) {
         this.core = core;
         this.clock = clock;
         this.categories = categories;
         this.mostTtlUs = mostTtlUs;
         this.most = most;
+        this.budget = budget;
     }
 
     void serve(TCPNIOServerConnection on) {
@@ -57,7 +60,7 @@
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        Link link = new Link((NIOConnection) ctx.getConnection(), true);
+        Link link = new Link((NIOConnection) ctx.getConnection(), true, budget);
         link.connected = true;
         link.idleUs = clock.getAsLong();
         links.add(link);
@@ -101,6 +104,7 @@
             core.left(clock.getAsLong(), op);
         }
         pause(false);
+        link.free();
         return ctx.getInvokeAction();
     }
 
@@ -114,7 +118,7 @@
         } else if (ctx.getMessage() instanceof Message request) {
             request(link, request);
         } else {
-            refuse(link, (Integer) ctx.getMessage(), "malformed request");
+            refuse(link, (Integer) ctx.getMessage(), "malformed request, or no room for it");
         }
         return ctx.getStopAction();
     }
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -58,13 +58,16 @@
                 .setMemoryManager(new HeapMemoryManager()).setSelectorHandler(loop);
         builder.setTcpNoDelay(true).setReuseAddress(true).setKeepAlive(false);
         transport = builder.build();
+        Budget budget = new Budget(Runtime.getRuntime().maxMemory() / 4);
         int half = Math.max(4, (descriptors - SPARE_DESCRIPTORS) / 2);
         Map<String, Category> byName = new LinkedHashMap<>();
         categories.forEach(c -> byName.put(c.name(), c));
-        listener = new Listener(core, this::now, byName, mostTtlUs, half);
+        listener = new Listener(core, this::now, byName, mostTtlUs, half, budget);
         // A tenth early: the endpoint's clock for the idle limit began before ours.
-        endpoints = new Endpoints(transport, core, this::now, connectUs, keepUs - keepUs / 10, half);
-        discovery = new Discovery(transport, core, this::now, discoveryAddress, Math.max(connectUs, 1_000_000));
+        endpoints = new Endpoints(transport, core, this::now, connectUs, keepUs - keepUs / 10, half,
+                budget);
+        discovery = new Discovery(transport, core, this::now, discoveryAddress, Math.max(connectUs, 1_000_000),
+                budget);
     }
 
     public void start(InetSocketAddress listen) throws IOException {
--- a/src/main/java/dillcross/net/Rehearsal.java
+++ b/src/main/java/dillcross/net/Rehearsal.java
@@ -30,7 +30,7 @@
             list.add(new Listed(new Endpoint("e" + i, Health.UP, 0, i % 2, "", "", 1), "none"));
         }
         core.list(1, 1, true, list, false);
-        Ring ring = new Ring(1 << 17);
+        Ring ring = new Ring(1 << 17, new Budget(1 << 20));
         Message request = Message.request("POST", "/a/b", Map.of("host", "a", Names.ID, "1"), new byte[100]);
         long now = 1;
         for (int i = 0; i < OPS && !categories.isEmpty(); i++, now += 1000) {
--- a/src/main/java/dillcross/net/Ring.java
+++ b/src/main/java/dillcross/net/Ring.java
@@ -4,25 +4,44 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 
-/** Bytes of one connection in one direction. Starts small and doubles up to a limit, so that idle ones cost little. */
+/**
+ * Bytes of one connection in one direction. Starts small, which is free, and doubles up to a limit while the budget of
+ * all rings has room.
+ */
 final class Ring {
     private static final int FIRST = 1 << 10;
     private final int most;
+    private final Budget budget;
+    private boolean starved; // it could not grow
     private byte[] bytes = new byte[FIRST];
     private int head; // of the first byte
     private int size;
 
     /** {@code most} is a power of two. */
-    Ring(int most) {
+    Ring(int most, Budget budget) {
         this.most = most;
+        this.budget = budget;
     }
 
     int size() {
         return size;
     }
 
+    /** Nothing more fits in. */
     boolean full() {
-        return size == most;
+        return size == most || starved;
+    }
+
+    boolean starved() {
+        return starved;
+    }
+
+    /** Gives its room back; it must not be used after. */
+    void free() {
+        budget.giveBack(bytes.length - FIRST);
+        bytes = new byte[FIRST];
+        head = 0;
+        size = 0;
     }
 
     byte at(int index) {
@@ -34,7 +53,9 @@
         size -= count;
         if (size == 0) {
             head = 0;
-            bytes = bytes.length > 8 * FIRST ? new byte[FIRST] : bytes; // one large message must not cost for ever
+            if (bytes.length > 8 * FIRST) {
+                free(); // one large message must not cost for ever
+            }
         }
     }
 
@@ -48,10 +69,9 @@
 
     /** False where it would pass the limit; then nothing is taken. */
     boolean add(byte[] from) {
-        if (size + from.length > most) {
+        if (size + from.length > most || !grow(size + from.length)) {
             return false;
         }
-        grow(size + from.length);
         int end = (head + size) & (bytes.length - 1);
         int first = Math.min(from.length, bytes.length - end);
         System.arraycopy(from, 0, bytes, end, first);
@@ -68,8 +88,7 @@
     /** Reads what there is room for: how many, or -1 at the end. */
     int read(SocketChannel from) throws IOException {
         int all = 0;
-        while (size < most) {
-            grow(size + 1);
+        while (size < most && grow(size + 1)) {
             int end = (head + size) & (bytes.length - 1);
             int space = end < head ? head - end : bytes.length - end;
             int got = from.read(ByteBuffer.wrap(bytes, end, space));
@@ -85,12 +104,18 @@
         return all;
     }
 
-    private void grow(int need) {
+    private boolean grow(int need) {
         if (need > bytes.length) {
-            byte[] larger = new byte[Math.max(2 * bytes.length, Integer.highestOneBit(need - 1) * 2)];
+            int length = Integer.highestOneBit(need - 1) * 2;
+            starved = !budget.take(length - bytes.length);
+            if (starved) {
+                return false;
+            }
+            byte[] larger = new byte[length];
             copy(0, larger, 0, size);
             bytes = larger;
             head = 0;
         }
+        return true;
     }
 }
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -345,6 +345,28 @@
         assertTrue(process.isAlive());
     }
 
+    /** Many large requests at once, more than the memory holds: each is served or turned away, none brings it down. */
+    @Test
+    void manyLargeRequestsAreBounded() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        String request = post("/read/ok", 2000).replace("Content-Length: 3\r\n\r\nabc", "Content-Length: 60000\r\n\r\n") + "x".repeat(60_000);
+        List<Socket> all = new ArrayList<>();
+        for (int i = 0; i < 90; i++) {
+            all.add(connect());
+            all.get(i).getOutputStream().write(request.substring(0, request.length() - 1).getBytes(StandardCharsets.ISO_8859_1));
+        }
+        for (Socket socket : all) {
+            try {
+                String status = status(ask(socket, "x"));
+                assertTrue(List.of("200", "503", "closed").contains(status), status);
+            } catch (java.net.SocketException closed) {
+                socket.close(); // turned away before its last byte
+            }
+        }
+        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))));
+        assertTrue(process.isAlive());
+    }
+
     @Test
     void aFaultyKeyIsNamed() throws Exception {
         start(entry("a", "in_service", a.address()), "\"ask_within_ms\":600", "\"ask_within_ms\":\"often\"");
--- a/src/test/java/dillcross/net/ReaderTest.java
+++ b/src/test/java/dillcross/net/ReaderTest.java
@@ -20,7 +20,7 @@
     }
 
     private static Message read(Reader reader, String text, boolean ended) {
-        Ring ring = new Ring(1 << 17);
+        Ring ring = new Ring(1 << 17, new Budget(1 << 20));
         assertTrue(ring.add(bytes(text)));
         return reader.read(ring, ended);
     }
@@ -30,7 +30,7 @@
     @ValueSource(strings = {"POST /buy/1?x=2 HTTP/1.1|Host: a|Content-Length: 5||hello", "||POST /buy HTTP/1.1|host:a|x: 1|X: 2|content-length: 5||hello",
         "POST /buy HTTP/1.1|Host: a|Transfer-Encoding: chunked||3|hel|2;ext=1|lo|0|Trailer: x||"})
     void requestsAreReadBitByBit(String text) {
-        Ring ring = new Ring(1 << 17);
+        Ring ring = new Ring(1 << 17, new Budget(1 << 20));
         Reader reader = new Reader(true);
         Message whole = null;
         byte[] all = bytes(text);
@@ -96,7 +96,7 @@
     @Test
     void aRingKeepsOrderAndLimit() {
         Random random = new Random(4);
-        Ring ring = new Ring(1 << 12);
+        Ring ring = new Ring(1 << 12, new Budget(1 << 20));
         int in = 0;
         int out = 0;
         for (int step = 0; step < 20_000; step++) {
@@ -120,4 +120,21 @@
         }
         assertFalse(ring.add(new byte[5000]));
     }
+
+    /** Many large messages at once are bounded by what all rings may take; small ones always fit. */
+    @Test
+    void ringsShareABudget() {
+        Budget budget = new Budget(100_000);
+        Ring first = new Ring(1 << 17, budget);
+        Ring second = new Ring(1 << 17, budget);
+        assertTrue(first.add(new byte[60_000]));
+        assertFalse(second.add(new byte[60_000]));
+        assertTrue(second.starved());
+        assertTrue(second.add(new byte[1000]));
+        first.skip(60_000);
+        assertTrue(second.add(new byte[60_000]));
+        second.free();
+        first.free();
+        assertTrue(budget.take(100_000), "all given back");
+    }
 }
