What waited for its connection is looked at again before its first byte; faster start

Seen in review of PROTOCOL: a push may wait up to the connect limit, and its op may be answered or its endpoint drained meanwhile (Endpoints.connected sent it all the same); now Core.sendable is asked, and our own limit of connections is no mark against an endpoint (Ending.NOT_SENT). Start: class load log showed the command line library outside the class data (its classes are too old for it), 0.17 s of 0.39 s before the node; the platform's plain 'serve' goes past it.

--- /dev/null
+++ b/src/main/java/dillcross/cli/Commands.java
@@ -0,0 +1,67 @@
+package dillcross.cli;
+
+import dillcross.simhost.Host;
+import dillcross.simhost.WireException;
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Path;
+import java.util.Properties;
+import java.util.logging.Logger;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Option;
+
+/** The command line of dillcross. */
+@Command(name = "dillcross", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+        description = "Client-side load balancer that runs as a sidecar beside each calling process.")
+final class Commands implements Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "Missing command");
+    }
+
+    @Command(name = "simhost", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Host many instances of the decision module on the simulator's wire (stdin, stdout).")
+    int simhost() throws IOException {
+        try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
+            new Host(System.in, out).run();
+            return 0;
+        } catch (WireException malformed) {
+            log().severe(malformed.getMessage());
+            return 3;
+        }
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Run one sidecar: listen for clients, push to endpoints, follow the list.")
+    int serve(@Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:NODE_CONFIG}",
+            description = "Configuration as JSON (default: $NODE_CONFIG).") Path file,
+            @Option(names = "--check", description = "Check the configuration, start, warm up and exit.")
+            boolean check) throws InterruptedException {
+        return Serve.run(file, check);
+    }
+
+    /** Made only when there is something to say: starting the logger costs CPU that a run is billed for. */
+    private static Logger log() {
+        return Logger.getLogger(Commands.class.getName());
+    }
+
+    /** Reads the version that the build wrote. */
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() throws IOException {
+            Properties built = new Properties();
+            try (InputStream in = Commands.class.getResourceAsStream("/dillcross.properties")) {
+                built.load(in);
+            }
+            return new String[] {"dillcross " + built.getProperty("version")};
+        }
+    }
+}
--- a/src/main/java/dillcross/cli/Main.java
+++ b/src/main/java/dillcross/cli/Main.java
@@ -1,82 +1,31 @@
 package dillcross.cli;
 
-import dillcross.config.FaultyKey;
-import dillcross.simhost.Host;
-import dillcross.simhost.WireException;
-import java.io.BufferedOutputStream;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
-import java.io.IOException;
-import java.io.InputStream;
 import java.nio.file.Path;
-import java.util.Properties;
-import java.util.logging.Logger;
 import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.IVersionProvider;
-import picocli.CommandLine.Option;
 
-/** The command line of dillcross. */
-@Command(name = "dillcross", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-        description = "Client-side load balancer that runs as a sidecar beside each calling process.")
-public final class Main implements Runnable {
+/** Where the program starts. */
+public final class Main {
     private static final String LOG_FORMAT = "java.util.logging.SimpleFormatter.format";
 
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
-
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "Missing command");
-    }
-
-    @Command(name = "simhost", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "Host many instances of the decision module on the simulator's wire (stdin, stdout).")
-    int simhost() throws IOException {
-        try (var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16)) {
-            new Host(System.in, out).run();
-            return 0;
-        } catch (WireException malformed) {
-            log().severe(malformed.getMessage());
-            return 3;
-        }
+    private Main() {
     }
 
-    @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "Run one sidecar: listen for clients, push to endpoints, follow the list.")
-    int serve(@Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:NODE_CONFIG}",
-            description = "Configuration as JSON (default: $NODE_CONFIG).") Path file,
-            @Option(names = "--check", description = "Check the configuration, start, warm up and exit.")
-            boolean check) throws Exception {
-        try {
-            return new Serve(file, System.getenv()).run(check);
-        } catch (FaultyKey faulty) {
-            log().severe("configuration: " + faulty.getMessage());
-            return 2;
+    public static void main(String[] args) throws InterruptedException {
+        if (System.getProperty(LOG_FORMAT) == null) {
+            System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n"); // one line a message
         }
+        // As the platform starts it: the command line library takes a third of the start, and a killed sidecar's
+        // clients wait for that.
+        boolean plain = args.length == 1 && args[0].equals("serve");
+        System.exit(plain ? Serve.run(environmentFile(), false) : byLibrary(args));
     }
 
-    /** Made only when there is something to say: starting the logger costs CPU that a run is billed for. */
-    private static Logger log() {
-        return Logger.getLogger(Main.class.getName());
+    private static Path environmentFile() {
+        String name = System.getenv("NODE_CONFIG");
+        return name == null ? null : Path.of(name);
     }
 
-    /** Reads the version that the build wrote. */
-    static final class Version implements IVersionProvider {
-        @Override
-        public String[] getVersion() throws IOException {
-            Properties built = new Properties();
-            try (InputStream in = Main.class.getResourceAsStream("/dillcross.properties")) {
-                built.load(in);
-            }
-            return new String[] {"dillcross " + built.getProperty("version")};
-        }
-    }
-
-    public static void main(String[] args) {
-        if (System.getProperty(LOG_FORMAT) == null) {
-            System.setProperty(LOG_FORMAT, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n"); // one line a message
-        }
-        System.exit(new CommandLine(new Main()).execute(args));
+    private static int byLibrary(String[] args) {
+        return new CommandLine(new Commands()).execute(args);
     }
 }
--- a/src/main/java/dillcross/net/Connector.java
+++ b/src/main/java/dillcross/net/Connector.java
@@ -1,8 +1,6 @@
 package dillcross.net;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -12,7 +10,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
-/** Opens connections whose top filter is the given one; each has its link before it is up, so that it can be given up. */
+/** Opens connections under the given top filter. Each has its link before it is up, so that it can be given up. */
 final class Connector extends TCPNIOConnectorHandler {
     private final Budget budget;
     private Link opening;
@@ -33,7 +31,7 @@
     @SuppressWarnings("rawtypes")
     Link open(String address, Consumer<Link> done) {
         opening = null;
-        InetSocketAddress to = parse(address);
+        InetSocketAddress to = Address.parse(address);
         if (to == null) {
             done.accept(null);
             return null;
@@ -53,18 +51,4 @@
         });
         return opening;
     }
-
-    /** An address is a number and a port: looking up a name would stop the one thread. Null where it is none. */
-    static InetSocketAddress parse(String address) {
-        int colon = address == null ? -1 : address.lastIndexOf(':');
-        if (colon < 0 || !address.matches("([0-9.]+|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}")) {
-            return null;
-        }
-        try {
-            int port = Integer.parseInt(address.substring(colon + 1));
-            return port > 65_535 ? null : new InetSocketAddress(InetAddress.getByName(address.substring(0, colon)), port);
-        } catch (UnknownHostException notANumber) {
-            return null;
-        }
-    }
 }
--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.logging.Logger;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -15,6 +16,8 @@
     private static final long WAIT_MS = 20_000; // that a watch may wait for news
     private static final long GRACE_US = 3_000_000; // beyond it, until the call counts as lost
 
+    private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
+
     private final Core core;
     private final LongSupplier clock;
     private final Connector connector;
@@ -23,6 +26,7 @@
     private Link link;
     private Order.Watch asked; // null while no call is out
     private long limitUs;
+    private boolean failing;
 
     Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, long connectUs,
             Budget budget) {
@@ -73,6 +77,10 @@
             if (old != null) {
                 old.close();
             }
+            if (!failing) {
+                failing = true;
+                LOG.warning("the list can't be had; the last one holds");
+            }
             core.listFailed(clock.getAsLong());
         }
     }
@@ -89,6 +97,10 @@
             from.close();
         } else {
             asked = null;
+            if (failing) {
+                failing = false;
+                LOG.info("the list is back");
+            }
             if (!answer.keepsAlive()) {
                 from.close();
             }
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -72,7 +72,7 @@
             link.close();
         }
         if (open >= most && !closeOneIdle()) {
-            end(exchange, Ending.Kind.BROKEN, null);
+            end(exchange, Ending.Kind.NOT_SENT, null); // our limit is no mark against the endpoint
             return;
         }
         open++;
@@ -104,7 +104,11 @@
             end(exchange, Ending.Kind.BROKEN, null);
         } else if (connecting.remove(exchange)) {
             exchange.link = up;
-            send(exchange);
+            if (exchange.push.op() < 0 || core.sendable(exchange.push.op(), exchange.push.push())) {
+                send(exchange);
+            } else {
+                end(exchange, Ending.Kind.NOT_SENT, null);
+            }
         } else { // given up meanwhile
             open++;
             up.close();
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.logging.Logger;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -22,6 +23,8 @@
 
     private static final long PARTIAL_US = 10_000_000; // that a request may take to come
 
+    private static final Logger LOG = Logger.getLogger(Listener.class.getName());
+
     private final Core core;
     private final LongSupplier clock;
     private final Map<String, Category> categories;
@@ -85,6 +88,7 @@
             paused = now;
             try {
                 if (now) {
+                    LOG.warning("at the limit of client connections; new ones wait");
                     server.disableIOEvent(IOEvent.SERVER_ACCEPT);
                 } else {
                     server.enableIOEvent(IOEvent.SERVER_ACCEPT);
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -21,11 +22,12 @@
 /** The running sidecar: its transport with one selector thread, and the parts that the thread works for. */
 public final class Node {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
-    private static final int REHEARSALS = 200;
+    private static final int REHEARSALS = 120;
     private static final long MOST_REHEARSAL_US = 1_000_000;
     private static final int BACKLOG = 1024;
     private static final int SPARE_DESCRIPTORS = 64; // files, selector, listening socket, list, and what closes
     private static final long ACCEPT_US = 500_000; // after the order to stop, new connections still come
+    private static final long QUIET_US = 150_000;
 
     private final Core core;
     private final LongSupplier clock;
@@ -112,7 +114,7 @@
     public void stop() throws InterruptedException {
         stop = true;
         loop.wake();
-        done.await();
+        done.await(mostTtlUs + 2 * ACCEPT_US, TimeUnit.MICROSECONDS); // the loop may not have started
     }
 
     private void look() {
@@ -188,7 +190,8 @@
                 accepting = false;
                 listener.stopAccepting();
             }
-            if (core.open() == 0 && listener.drained() || now - stopUs > mostTtlUs + ACCEPT_US + 150_000) {
+            boolean quiet = now - stopUs > ACCEPT_US + QUIET_US; // a request may be on its way to us still
+            if (quiet && core.open() == 0 && listener.drained() || now - stopUs > mostTtlUs + ACCEPT_US + QUIET_US) {
                 done.countDown();
             }
         }
--- a/src/main/java/dillcross/net/Rehearsal.java
+++ b/src/main/java/dillcross/net/Rehearsal.java
@@ -18,7 +18,7 @@
  * yet is slow, and the first ops after a start would pay for it. Nothing of it is kept.
  */
 public final class Rehearsal {
-    private static final int OPS = 1000;
+    private static final int OPS = 400;
 
     private Rehearsal() {
     }
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -23,11 +23,13 @@
     /** One push that is out. */
     private static final class Push {
         final long sentUs;
+        final String endpoint;
         boolean late; // given up because its time was over
         boolean ended;
 
-        Push(long sentUs) {
+        Push(long sentUs, String endpoint) {
             this.sentUs = sentUs;
+            this.endpoint = endpoint;
         }
     }
 
@@ -54,7 +56,7 @@
 
     private final Logic logic;
     private final Map<Long, Op> ops = new HashMap<>();
-    private final Map<String, String> addresses = new HashMap<>();
+    private final Map<String, Listed> listed = new HashMap<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) ->
             a.dueUs != b.dueUs ? Long.compare(a.dueUs, b.dueUs) : Long.compare(a.order, b.order));
     private final ArrayDeque<Order> ready = new ArrayDeque<>();
@@ -76,11 +78,11 @@
         version = older ? 0 : newVersion; // its numbering began anew: ask for the whole list
         List<Endpoint> endpoints = new ArrayList<>(entries.size());
         for (Listed entry : entries) {
-            addresses.put(entry.endpoint().id(), entry.address());
+            listed.put(entry.endpoint().id(), entry);
             endpoints.add(entry.endpoint());
         }
         if (whole) {
-            addresses.keySet().retainAll(endpoints.stream().map(Endpoint::id).toList());
+            listed.keySet().retainAll(endpoints.stream().map(Endpoint::id).toList());
         }
         logic.list(nowUs, whole, endpoints);
         if (watched) {
@@ -135,6 +137,16 @@
         }
     }
 
+    /**
+     * Whether a push that had to wait for its connection may still be sent: its op may have been answered meanwhile, its
+     * endpoint may have been told to drain.
+     */
+    public boolean sendable(long id, int number) {
+        Op op = ops.get(id);
+        Listed to = op == null ? null : listed.get(op.pushes.get(number).endpoint);
+        return op != null && !op.over && to != null && to.endpoint().health() == Endpoint.Health.UP;
+    }
+
     /** When the next timer is due; a network with nothing to tell must call {@link #next} by then. */
     public long dueUs() {
         return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueUs;
@@ -210,12 +222,13 @@
                 boolean limited = decision.us() > 0 && decision.us() < op.endUs;
                 long untilUs = limited ? decision.us() : op.endUs;
                 int number = op.pushes.size();
-                op.pushes.add(new Push(nowUs));
+                op.pushes.add(new Push(nowUs, decision.endpoint()));
                 op.out++;
                 if (limited) {
                     timer(untilUs, What.PUSH_ENDS, decision.op(), number);
                 }
-                ready.add(new Order.Push(decision.op(), number, addresses.get(decision.endpoint()), op.content, untilUs));
+                String address = listed.get(decision.endpoint()).address();
+                ready.add(new Order.Push(decision.op(), number, address, op.content, untilUs));
             }
             case NACK -> {
                 ready.add(new Order.Nack(op.client, decision.us()));
