A ring that once found no room no longer turns small requests away; tests of connections

Seen in review: Ring.starved stayed set until the ring next grew, so a small request in two pieces after a large one was turned away with 503 (HttpFilter); now it is decided anew at each growth. A connection that came up for a push which may not be sent any more goes to the pool (Endpoints.end); at the limit the longest idle client goes first. ServeIT: connections older than a given-up push, the idle limit, a connect that gets no answer.

--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -26,12 +26,12 @@
     private final Map<String, String> values;
     private final Map<?, ?> tree;
 
-    private final String at; // where in the whole its paths begin, for messages
+    private final String prefix; // where in the whole its paths begin, for messages
 
-    private Given(Map<String, String> values, Map<?, ?> tree, String at) {
+    private Given(Map<String, String> values, Map<?, ?> tree, String prefix) {
         this.values = values;
         this.tree = tree;
-        this.at = at;
+        this.prefix = prefix;
     }
 
     public static Given pairs(Map<String, String> pairs) {
@@ -77,7 +77,7 @@
             }
         });
         return new Given(part, tree.get(path) instanceof Map<?, ?> map ? map : Map.of(),
-                at + path + ".");
+                prefix + path + ".");
     }
 
     /** As it stands in the JSON file. */
@@ -182,7 +182,7 @@
     }
 
     private FaultyKey fault(String path, String what) {
-        return new FaultyKey(at + path, what);
+        return new FaultyKey(prefix + path, what);
     }
 
     private String text(String path, String ifAbsent) {
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -104,7 +104,7 @@
             end(exchange, Ending.Kind.BROKEN, null);
         } else if (connecting.remove(exchange)) {
             exchange.link = up;
-            if (exchange.push.op() < 0 || core.sendable(exchange.push.op(), exchange.push.push())) {
+            if (core.sendable(exchange.push.op(), exchange.push.push())) {
                 send(exchange);
             } else {
                 end(exchange, Ending.Kind.NOT_SENT, null);
@@ -145,7 +145,7 @@
         }
     }
 
-    /** Takes the exchange off its connection, which is closed unless the answer was whole, and reports the end. */
+    /** Takes the exchange off its connection, which is closed unless the next can use it, and reports the end. */
     private void end(Exchange exchange, Ending.Kind kind, Message answer) {
         Key key = new Key(exchange.push.op(), exchange.push.push());
         if (!exchanges.remove(key, exchange)) {
@@ -158,8 +158,9 @@
         Link link = exchange.link;
         if (link != null) {
             link.user = null;
-            boolean reuse = answer != null && answer.keepsAlive() && link.written() && !link.ended
-                    && link.in.size() == 0;
+            boolean unused = kind == Ending.Kind.NOT_SENT && link.connected;
+            boolean whole = answer != null && answer.keepsAlive() && link.written() && link.in.size() == 0;
+            boolean reuse = (unused || whole) && !link.ended;
             if (reuse) {
                 link.idleUs = clock.getAsLong();
                 idle.computeIfAbsent(exchange.push.address(), a -> new ArrayDeque<>()).addLast(link);
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -3,8 +3,9 @@
 import dillcross.model.Category;
 import dillcross.model.Effect;
 import dillcross.sidecar.Core;
-import java.util.LinkedHashSet;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,9 +21,7 @@
 /** The clients' side: requests to ops, answers to clients. */
 final class Listener extends BaseFilter {
     private static final long LINGER_US = 1_000_000; // for the other side to read a last answer and close
-
     private static final long PARTIAL_US = 10_000_000; // that a request may take to come, or an answer to be read
-
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
 
     private final Core core;
@@ -79,13 +78,12 @@
     }
 
     private boolean closeOneIdle(Link but) {
-        for (Link link : links) {
-            if (link != but && idle(link)) {
-                link.close();
-                return true;
-            }
+        Link longest = links.stream().filter(l -> l != but && idle(l)).min(Comparator.comparingLong(l -> l.idleUs))
+                .orElse(null);
+        if (longest != null) {
+            longest.close();
         }
-        return false;
+        return longest != null;
     }
 
     private void pause(boolean now) {
--- a/src/main/java/dillcross/net/Ring.java
+++ b/src/main/java/dillcross/net/Ring.java
@@ -12,7 +12,7 @@
     private static final int FIRST = 1 << 10;
     private final int most;
     private final Budget budget;
-    private boolean starved; // it could not grow
+    private boolean starved; // it could not grow when it last had to
     private byte[] bytes = new byte[FIRST];
     private int head; // of the first byte
     private int size;
@@ -105,6 +105,7 @@
     }
 
     private boolean grow(int need) {
+        starved = false;
         if (need > bytes.length) {
             int length = Integer.highestOneBit(need - 1) * 2;
             starved = !budget.take(length - bytes.length);
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -139,12 +139,12 @@
 
     /**
      * Whether a push that had to wait for its connection may still be sent: its op may have been answered meanwhile, its
-     * endpoint may have been told to drain.
+     * endpoint may have been told to drain. What belongs to no op is not the core's to hold back.
      */
     public boolean sendable(long id, int number) {
         Op op = ops.get(id);
         Listed to = op == null ? null : listed.get(op.pushes.get(number).endpoint);
-        return op != null && !op.over && to != null && to.endpoint().health() == Endpoint.Health.UP;
+        return op == null || !op.over && to != null && to.endpoint().health() == Endpoint.Health.UP;
     }
 
     /** When the next timer is due; a network with nothing to tell must call {@link #next} by then. */
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
@@ -73,6 +74,7 @@
         final ServerSocket server;
         final Map<String, Integer> got = new ConcurrentHashMap<>(); // requests by path
         final List<String> requests = java.util.Collections.synchronizedList(new ArrayList<>());
+        final AtomicInteger accepted = new AtomicInteger();
         private String list = ""; // what changed in the version below
         private int version = 1;
         private int asked; // the version that the last watch had
@@ -82,6 +84,7 @@
             start(() -> {
                 while (true) {
                     Socket socket = server.accept();
+                    accepted.incrementAndGet();
                     start(() -> serve(socket));
                 }
             });
@@ -205,6 +208,10 @@
 
     private void serving(String servers) throws IOException {
         start(servers);
+        awaitReady();
+    }
+
+    private void awaitReady() throws IOException {
         for (String line; (line = log.readLine()) != null;) {
             Matcher ready = Pattern.compile("ready on 127.0.0.1:([0-9]+)").matcher(line);
             if (ready.find()) {
@@ -299,9 +306,49 @@
                     + "\r\nRequest-Timeout-Ms: 2000\r\n\r\n")));
         }
         assertEquals(50, a.requests.size());
+        assertEquals(1, a.accepted.get());
+        assertEquals("200", status(ask(socket, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")));
         assertTrue(a.requests.get(7).startsWith("GET /read/7?q=1 HTTP/1.1\r\n"), a.requests.get(7));
     }
 
+    /** What a cut-off machine leaves open is dead: connections older than a push that was given up are not used again. */
+    @Test
+    void connectionsOlderThanAGivenUpPushAreDropped() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket first = connect();
+        Socket second = connect();
+        first.getOutputStream().write(post("/read/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals("200", status(ask(second, post("/read/slow", 2000))));
+        assertEquals("200", status(message(first.getInputStream())));
+        assertEquals(2, a.accepted.get());
+        assertEquals("502", status(ask(first, post("/buy/hang", 300))));
+        assertEquals("200", status(ask(first, post("/read/ok", 2000))));
+        assertEquals(3, a.accepted.get());
+    }
+
+    /** A push that is written as the endpoint closes an idle connection may have run: we close before it does. */
+    @Test
+    void idleConnectionsAreDroppedBeforeTheirLimit() throws Exception {
+        start(entry("a", "in_service", a.address()), "\"keepalive_ms\":9000", "\"keepalive_ms\":300");
+        awaitReady();
+        Socket socket = connect();
+        assertEquals("200", status(ask(socket, post("/read/ok", 2000))));
+        Thread.sleep(400);
+        assertEquals("200", status(ask(socket, post("/read/ok", 2000))));
+        assertEquals(2, a.accepted.get());
+    }
+
+    @Test
+    void aConnectThatGetsNoAnswerIsNacked() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket full = new Socket(silent.getInetAddress(), silent.getLocalPort());
+                Socket over = new Socket(silent.getInetAddress(), silent.getLocalPort())) {
+            serving(entry("a", "in_service", "127.0.0.1:" + silent.getLocalPort()));
+            assertTrue(full.isConnected() && over.isConnected());
+            assertEquals("503", status(ask(connect(), post("/buy/ok", 1500))));
+        }
+    }
+
     /** The watch brings a new endpoint, and the end of another; from then on that one gets nothing. */
     @Test
     void theListIsFollowedAndDrainsAreKept() throws Exception {
--- a/src/test/java/dillcross/net/ReaderTest.java
+++ b/src/test/java/dillcross/net/ReaderTest.java
@@ -168,6 +168,7 @@
         assertFalse(second.add(new byte[60_000]));
         assertTrue(second.starved());
         assertTrue(second.add(new byte[1000]));
+        assertFalse(second.starved(), "or a small request after it would be turned away");
         first.skip(60_000);
         assertTrue(second.add(new byte[60_000]));
         second.free();
