--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -75,6 +75,7 @@
         final Map<String, Integer> got = new ConcurrentHashMap<>(); // requests by path
         final List<String> requests = java.util.Collections.synchronizedList(new ArrayList<>());
         final AtomicInteger accepted = new AtomicInteger();
+        final List<String> broken = java.util.Collections.synchronizedList(new ArrayList<>()); // answers to the next watches
         private String list = ""; // what changed in the version below
         private int version = 1;
         private int asked; // the version that the last watch had
@@ -138,6 +139,9 @@
         }
 
         private synchronized String watch(String path) throws InterruptedException {
+            if (!broken.isEmpty()) {
+                return broken.remove(0);
+            }
             int since = Integer.parseInt(path.replaceAll(".*since=([0-9]+).*", "$1"));
             asked = since;
             notifyAll();
@@ -364,6 +368,19 @@
         assertEquals(20, b.got.get("/read/after"));
     }
 
+    /** Discovery that is down, overloaded or talks nonsense: the last list holds, and news comes through when it is back. */
+    @Test
+    void aListOutOfReachIsAskedForAgain() throws Exception {
+        discovery.broken.addAll(List.of(answer(503, "", ""), answer(200, "", "{\"version\":"), "",
+                answer(200, "", "{\"version\":2,\"servers\":[{}]}")));
+        serving(entry("a", "in_service", a.address()));
+        assertEquals("200", status(ask(connect(), post("/read/before", 2000))));
+        discovery.tell(entry("b", "in_service", b.address()) + "," + entry("a", "terminated", a.address()));
+        assertTrue(discovery.broken.isEmpty());
+        assertEquals("200", status(ask(connect(), post("/read/after", 2000))));
+        assertEquals(1, b.got.get("/read/after"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"nonsense\r\n\r\n", "GET /read/x HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 9\r\n\r\n",
         "POST /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
