The environment is read in config; endpoints that are gone leave the core

Seen in review: Core.listed kept every endpoint that a change had named as gone, until the next whole list; a long-lived sidecar would gather them over deploys. The environment's variables were mapped in cli; configuration is read in one place.

--- a/src/main/java/dillcross/cli/Commands.java
+++ b/src/main/java/dillcross/cli/Commands.java
@@ -7,7 +7,6 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.nio.file.Path;
 import java.util.Properties;
 import java.util.logging.Logger;
 import picocli.CommandLine;
@@ -41,8 +40,8 @@
 
     @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "Run one sidecar: listen for clients, push to endpoints, follow the list.")
-    int serve(@Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:NODE_CONFIG}",
-            description = "Configuration as JSON (default: $NODE_CONFIG).") Path file,
+    int serve(@Option(names = "--config", paramLabel = "FILE",
+            description = "Configuration as JSON (default: $NODE_CONFIG).") String file,
             @Option(names = "--check", description = "Check the configuration, start, warm up and exit.")
             boolean check) throws InterruptedException {
         return Serve.run(file, check);
--- a/src/main/java/dillcross/cli/Main.java
+++ b/src/main/java/dillcross/cli/Main.java
@@ -1,6 +1,5 @@
 package dillcross.cli;
 
-import java.nio.file.Path;
 import picocli.CommandLine;
 
 /** Where the program starts. */
@@ -17,12 +16,7 @@
         // As the platform starts it: the command line library takes a third of the start, and a killed sidecar's
         // clients wait for that.
         boolean plain = args.length == 1 && args[0].equals("serve");
-        System.exit(plain ? Serve.run(environmentFile(), false) : byLibrary(args));
-    }
-
-    private static Path environmentFile() {
-        String name = System.getenv("NODE_CONFIG");
-        return name == null ? null : Path.of(name);
+        System.exit(plain ? Serve.run(null, false) : byLibrary(args));
     }
 
     private static int byLibrary(String[] args) {
--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -11,8 +11,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
@@ -23,23 +21,14 @@
 
     private final Given given;
 
-    private Serve(Path file, Map<String, String> environment) {
-        Map<String, String> named = new HashMap<>();
-        environment.forEach((key, value) -> {
-            if (key.startsWith("NODE_")) {
-                named.put(key.substring("NODE_".length()).toLowerCase(java.util.Locale.ROOT), value);
-            }
-        });
-        if (file == null || file.toString().isEmpty()) {
-            throw new FaultyKey("NODE_CONFIG", "is missing");
-        }
-        given = Given.file(file, named);
+    private Serve(Given given) {
+        this.given = given;
     }
 
     /** The exit status: 0 after a check, 1 where it can't start, 2 for a fault in the configuration. */
-    static int run(Path file, boolean check) throws InterruptedException {
+    static int run(String file, boolean check) throws InterruptedException {
         try {
-            return new Serve(file, System.getenv()).run(check);
+            return new Serve(Given.file(file, System.getenv())).run(check);
         } catch (FaultyKey faulty) {
             LOG.severe("configuration: " + faulty.getMessage());
             return 2;
--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -23,6 +24,7 @@
  * read, checked and given defaults; unknown keys are skipped, absent ones get a careful default.
  */
 public final class Given {
+    private static final String ENVIRONMENT = "NODE_"; // begins the names of its variables
     private final Map<String, String> values;
     private final Map<?, ?> tree;
 
@@ -38,18 +40,27 @@
         return new Given(pairs, Map.of(), "");
     }
 
-    /** The file, with {@code environment} for what it does not name. */
-    public static Given file(Path file, Map<String, String> environment) {
-        Map<String, String> values = new HashMap<>(environment);
+    /** The named file, or where that is null the one that the environment names, which also stands for absent keys. */
+    public static Given file(String named, Map<String, String> environment) {
+        String file = named == null ? environment.get(ENVIRONMENT + "CONFIG") : named;
+        if (file == null || file.isEmpty()) {
+            throw new FaultyKey(ENVIRONMENT + "CONFIG", "is missing");
+        }
+        Map<String, String> values = new HashMap<>();
+        environment.forEach((key, value) -> {
+            if (key.startsWith(ENVIRONMENT)) {
+                values.put(key.substring(ENVIRONMENT.length()).toLowerCase(Locale.ROOT), value);
+            }
+        });
         try {
-            Object tree = JSON.std.anyFrom(Files.readAllBytes(file));
+            Object tree = JSON.std.anyFrom(Files.readAllBytes(Path.of(file)));
             if (!(tree instanceof Map<?, ?> map)) {
-                throw new FaultyKey(file.toString(), "not a JSON object");
+                throw new FaultyKey(file, "not a JSON object");
             }
             flatten("", map, values);
             return new Given(values, map, "");
         } catch (IOException | IllegalArgumentException e) {
-            throw new FaultyKey(file.toString(), "can't be read as JSON: " + e.getMessage());
+            throw new FaultyKey(file, "can't be read as JSON: " + e.getMessage());
         }
     }
 
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -78,7 +78,11 @@
         version = older ? 0 : newVersion; // its numbering began anew: ask for the whole list
         List<Endpoint> endpoints = new ArrayList<>(entries.size());
         for (Listed entry : entries) {
-            listed.put(entry.endpoint().id(), entry);
+            if (entry.endpoint().health() == Endpoint.Health.GONE) {
+                listed.remove(entry.endpoint().id()); // or each deploy would leave its old endpoints here
+            } else {
+                listed.put(entry.endpoint().id(), entry);
+            }
             endpoints.add(entry.endpoint());
         }
         if (whole) {
--- a/src/test/java/dillcross/config/GivenTest.java
+++ b/src/test/java/dillcross/config/GivenTest.java
@@ -18,7 +18,8 @@
     private Path folder;
 
     private Given given(String json) throws IOException {
-        return Given.file(Files.writeString(folder.resolve("c.json"), json), Map.of("listen", "from-env", "name", "x"));
+        return Given.file(Files.writeString(folder.resolve("c.json"), json).toString(),
+                Map.of("NODE_LISTEN", "from-env", "NODE_NAME", "x"));
     }
 
     @ParameterizedTest
@@ -47,6 +48,7 @@
     void theFileComesBeforeTheEnvironment() throws IOException {
         Given given = given("{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\"}");
         assertEquals("n1", given.needed("name"));
+        assertEquals("NODE_CONFIG: is missing", assertThrows(FaultyKey.class, () -> Given.file(null, Map.of())).getMessage());
         assertEquals("from-env", given.needed("listen"));
         assertEquals(0x8c1f30d27a5be964L, given.seed());
         assertEquals("discovery: is missing", assertThrows(FaultyKey.class, () -> given.needed("discovery")).getMessage());
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class CoreTest {
     private static final long TTL_US = 500_000;
@@ -167,10 +168,11 @@
         assertFalse(core.sendable(push.op(), push.push()), "its op is over");
     }
 
-    @Test
-    void whatDrainsGetsNothingNew() {
+    @ParameterizedTest
+    @EnumSource(value = Health.class, names = "UP", mode = EnumSource.Mode.EXCLUDE)
+    void whatDrainsOrIsGoneGetsNothingNew(Health told) {
         core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1"), listed("b", Health.UP, "h:2")), false);
-        core.list(now, 2, false, List.of(listed("a", Health.DRAINING, "h:1")), false);
+        core.list(now, 2, false, List.of(listed("a", told, "h:1")), false);
         for (int i = 0; i < 20; i++) {
             Order.Push push = push("read");
             assertEquals("h:2", push.address());
