--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -54,10 +54,6 @@
         ready = true;
     }
 
-    int open() {
-        return links.size();
-    }
-
     // ---- Connections
 
     @Override
