--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -9,6 +9,7 @@
 import dillcross.model.PushRule;
 import dillcross.model.Tenant;
 import java.io.IOException;
+import java.nio.file.FileSystemException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -60,7 +61,8 @@
             flatten("", map, values);
             return new Given(values, map, "");
         } catch (IOException | IllegalArgumentException e) {
-            throw new FaultyKey(file, "can't be read as JSON: " + e.getMessage());
+            boolean unread = e instanceof FileSystemException;
+            throw new FaultyKey(file, unread ? "can't be read: " + e : "not JSON: " + e.getMessage());
         }
     }
 
