Read once more: one chain, no second copy of an answer, less state in the core

The filter chain was built in two places (HttpFilter.chain now); each answer's fields and message were copied again before they were written (Listener.write); the count of open ops was kept beside the ops it follows from, and is asked for only while stopping (Core.open); each op had two timers from its start where the second is wanted only if the first finds it unanswered (Core.fire); the reader spelled out field names that Names holds; some code could not be reached (Message.reason, Rehearsal) or set a link twice (Endpoints.push).

--- a/src/main/java/dillcross/net/Connector.java
+++ b/src/main/java/dillcross/net/Connector.java
@@ -4,7 +4,6 @@
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.Filter;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -18,7 +17,7 @@
     Connector(TCPNIOTransport transport, Filter top, Budget budget) {
         super(transport);
         this.budget = budget;
-        setProcessor(FilterChainBuilder.stateless().add(new RingFilter()).add(new HttpFilter(false)).add(top).build());
+        setProcessor(HttpFilter.chain(false, top));
     }
 
     @Override
--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -2,7 +2,6 @@
 
 import dillcross.sidecar.Core;
 import dillcross.sidecar.Order;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
@@ -63,10 +62,8 @@
 
     private void send(Link on) {
         limitUs = clock.getAsLong() + WAIT_MS * 1000 + GRACE_US;
-        Map<String, String> fields = new LinkedHashMap<>();
-        fields.put("host", address);
         String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + WAIT_MS;
-        on.connection.write(Message.request("GET", target, fields, Message.nothing()));
+        on.connection.write(Message.request("GET", target, Map.of("host", address), Message.NOTHING));
     }
 
     private void fail() {
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -77,10 +77,7 @@
         }
         open++;
         connecting.add(exchange);
-        Link link = connector.open(push.address(), up -> connected(exchange, up));
-        if (link != null && exchange.link == null) {
-            exchange.link = link;
-        }
+        exchange.link = connector.open(push.address(), up -> connected(exchange, up));
     }
 
     /** The endpoint closes what is idle for long, and a request that crosses that is lost: we close before it does. */
--- a/src/main/java/dillcross/net/HttpFilter.java
+++ b/src/main/java/dillcross/net/HttpFilter.java
@@ -2,6 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 
@@ -11,10 +14,15 @@
     private static final int NO_MEMORY = 503; // nothing of it has gone further, so another try is harmless
     private final boolean server;
 
-    HttpFilter(boolean server) {
+    private HttpFilter(boolean server) {
         this.server = server;
     }
 
+    /** The chain of a connection on which we serve, or else ask: sockets, rings, messages, and the given part on top. */
+    static FilterChain chain(boolean server, Filter top) {
+        return FilterChainBuilder.stateless().add(new RingFilter()).add(new HttpFilter(server)).add(top).build();
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         Link link = Link.of(ctx.getConnection());
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -4,7 +4,6 @@
 import dillcross.model.Effect;
 import dillcross.sidecar.Core;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -164,7 +163,7 @@
     private void reject(Link link, int status, String why) {
         link.closing = true;
         link.idleUs = clock.getAsLong();
-        write(link, Message.answer(status, why), false);
+        write(link, Message.answer(status, why));
     }
 
     void answer(Object client, Message answer) {
@@ -176,7 +175,7 @@
     private void answer(Link link, Message request, Message answer) {
         link.idleUs = clock.getAsLong();
         link.closing = draining || !request.keepsAlive();
-        write(link, answer, !link.closing);
+        write(link, answer);
         if (!link.closing && link.in.size() > 0) {
             next(link);
         }
@@ -191,12 +190,11 @@
         }
     }
 
-    private static void write(Link link, Message answer, boolean keep) {
-        Map<String, String> fields = new LinkedHashMap<>(answer.fields());
-        if (!keep) {
-            fields.put("connection", "close");
+    private static void write(Link link, Message answer) {
+        if (link.closing) {
+            answer.fields().put("connection", "close");
         }
-        link.connection.write(new Message(answer.first(), answer.second(), answer.third(), fields, answer.body()));
+        link.connection.write(answer);
     }
 
     // ---- The end
--- a/src/main/java/dillcross/net/Message.java
+++ b/src/main/java/dillcross/net/Message.java
@@ -7,7 +7,7 @@
 
 /** One HTTP message, whole: the three parts of its first line, its fields by lower-case name, its body. */
 record Message(String first, String second, String third, Map<String, String> fields, byte[] body) {
-    private static final byte[] NOTHING = {};
+    static final byte[] NOTHING = {};
     /** Fields that speak of one connection only, or that the writer of the next message sets itself. */
     private static final Set<String> OF_THE_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
             "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authenticate", "proxy-authorization");
@@ -66,10 +66,6 @@
         return all;
     }
 
-    static byte[] nothing() {
-        return NOTHING;
-    }
-
     private static String reason(int status) {
         return switch (status) {
             case 200 -> "OK";
@@ -80,7 +76,6 @@
             case 431 -> "Request Header Fields Too Large";
             case 502 -> "Bad Gateway";
             case 503 -> "Service Unavailable";
-            case 504 -> "Gateway Timeout";
             default -> "Other";
         };
     }
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -12,7 +12,6 @@
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.memory.HeapMemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -76,8 +75,7 @@
 
     public void start(InetSocketAddress listen) throws IOException {
         transport.start();
-        transport.setProcessor(FilterChainBuilder.stateless().add(new RingFilter()).add(new HttpFilter(true))
-                .add(listener).build());
+        transport.setProcessor(HttpFilter.chain(true, listener));
         TCPNIOServerConnection server = transport.bind(listen, BACKLOG);
         listener.serve(server);
         InetSocketAddress own = (InetSocketAddress) server.getLocalAddress();
@@ -100,8 +98,7 @@
             return;
         }
         for (int i = 0; i < 4 && !enough; i++) {
-            Map<String, String> fields = new LinkedHashMap<>(Map.of("host", self));
-            Message request = Message.request("GET", Names.HEALTH_PATH, fields, Message.nothing());
+            Message request = Message.request("GET", Names.HEALTH_PATH, Map.of("host", self), Message.NOTHING);
             endpoints.push(new Order.Push(-1 - rehearsed++, 0, self, request, now + MOST_REHEARSAL_US));
         }
         if (enough) {
--- a/src/main/java/dillcross/net/Reader.java
+++ b/src/main/java/dillcross/net/Reader.java
@@ -15,8 +15,8 @@
     private static final int MOST_HEAD = 16 << 10;
     private static final int UNTIL_CLOSE = -1;
     /** A second one of these would leave open which holds. */
-    private static final Set<String> SINGLE = Set.of("content-length", "transfer-encoding", "host", "request-id",
-            "request-timeout-ms", "idempotency-key");
+    private static final Set<String> SINGLE = Set.of("content-length", "transfer-encoding", "host", Names.ID,
+            Names.TIMEOUT, Names.KEY);
 
     private final boolean requests;
     private Message head; // of the message whose body is being read
@@ -223,7 +223,7 @@
         }
         length = (int) said;
         wantsMore = "100-continue".equalsIgnoreCase(fields.get("expect")) && (chunked || length > 0);
-        head = new Message(parts[0], parts[1], third, fields, Message.nothing());
+        head = new Message(parts[0], parts[1], third, fields, Message.NOTHING);
     }
 
     private static boolean token(String text) {
--- a/src/main/java/dillcross/net/Rehearsal.java
+++ b/src/main/java/dillcross/net/Rehearsal.java
@@ -33,7 +33,7 @@
         Ring ring = new Ring(1 << 17, new Budget(1 << 20));
         Message request = Message.request("POST", "/a/b", Map.of("host", "a", Names.ID, "1"), new byte[100]);
         long now = 1;
-        for (int i = 0; i < OPS && !categories.isEmpty(); i++, now += 1000) {
+        for (int i = 0; i < OPS; i++, now += 1000) {
             ring.add(request.encoded());
             Message read = new Reader(true).read(ring, false);
             core.arrive(now, read, read, null, categories.get(i % categories.size()).name(), 500_000, false);
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -64,7 +64,6 @@
     private long lastOp;
     private long version;
     private long askedUs;
-    private int open; // ops not answered yet
 
     public Core(Logic logic) {
         this.logic = logic;
@@ -104,9 +103,7 @@
             boolean repeat) {
         long id = ++lastOp;
         ops.put(id, new Op(client, content, nowUs + ttlUs));
-        open++;
         timer(nowUs + ttlUs, What.OP_ENDS, id, 0);
-        timer(nowUs + ttlUs + LOST_US, What.OP_LOST, id, 0);
         logic.arrive(nowUs, id, tenant, category, ttlUs, repeat);
         return id;
     }
@@ -133,7 +130,6 @@
         if (outcome == Outcome.ACKED && !op.over) {
             ready.add(new Order.Ack(op.client, ending.content()));
             op.over = true;
-            open--;
         }
         logic.ended(nowUs, id, number, outcome, nowUs - push.sentUs, op.over);
         if (op.over && op.out == 0) {
@@ -157,8 +153,8 @@
     }
 
     /** Ops that wait for their answer. */
-    public int open() {
-        return open;
+    public long open() {
+        return ops.values().stream().filter(op -> !op.over).count();
     }
 
     // ---- Orders
@@ -198,6 +194,9 @@
                 for (int i = 0; op != null && i < op.pushes.size(); i++) {
                     giveUp(due.op, op, i, true);
                 }
+                if (op != null && !op.over) {
+                    timer(due.dueUs + LOST_US, What.OP_LOST, due.op, 0);
+                }
             }
         }
     }
@@ -249,10 +248,7 @@
     }
 
     private void over(long id, Op op) {
-        if (!op.over) {
-            op.over = true;
-            open--;
-        }
+        op.over = true;
         if (op.out == 0) {
             ops.remove(id);
         }
