SIGHUP reads the configuration again and asks a new discovery at once

Serve never handled it; Discovery could not change its address (final field), and a late connect callback could speak for a newer call.

--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -8,27 +8,49 @@
 import dillcross.net.Roster;
 import dillcross.sidecar.Core;
 import java.io.IOException;
+import java.lang.invoke.MethodHandleProxies;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.MethodType;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
+import java.util.List;
+import java.util.concurrent.Semaphore;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 
 /** Puts the parts of one sidecar together and runs it until it is told to stop. */
 final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
 
-    private final Given given;
+    private final String file; // null where the environment names it
+    private Given given;
 
-    private Serve(Given given) {
-        this.given = given;
+    private Serve(String file) {
+        this.file = file;
+        given = read(file);
+    }
+
+    /** The configuration, once nothing is wrong with any part of it. */
+    private static Given read(String file) {
+        Given read = Given.file(file, System.getenv());
+        address(read, "listen");
+        address(read, "discovery");
+        known(read);
+        Given settings = read.below("settings");
+        settings.instance(read.seed());
+        settings.mostTtlUs();
+        settings.connectUs();
+        settings.keepUs();
+        read.descriptors();
+        return read;
     }
 
     /** The exit status: 0 after a check, 1 where it can't start, 2 for a fault in the configuration. */
     static int run(String file, boolean check) throws InterruptedException {
         try {
-            return new Serve(Given.file(file, System.getenv())).run(check);
+            return new Serve(file).run(check);
         } catch (FaultyKey faulty) {
             LOG.severe("configuration: " + faulty.getMessage());
             return 2;
@@ -39,13 +61,13 @@
     }
 
     private int run(boolean check) throws IOException, InterruptedException {
+        Semaphore reloads = new Semaphore(0);
+        onHangUp(reloads::release); // before all else: unhandled, it would end the program
         Given settings = given.below("settings");
-        InetSocketAddress listen = address("listen");
-        address("discovery");
         LongSupplier clock = clock();
         Core core = new Core(settings.instance(given.seed()));
-        if (!given.below("known").tree().isEmpty()) {
-            Roster known = known();
+        Roster known = known(given);
+        if (known != null) {
             core.list(clock.getAsLong(), known.version(), true, known.entries(), false);
         }
         Node node = new Node(core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
@@ -58,23 +80,58 @@
             }
         }, "stop"));
         Rehearsal.run(settings.instance(0), settings.categories());
-        node.start(listen);
+        node.start(address(given, "listen"));
         node.awaitReady();
-        if (!check) {
-            new CountDownLatch(1).await(); // the end comes by a signal
+        while (!check) { // the end comes by a signal
+            reloads.acquire();
+            reloads.drainPermits();
+            reload(node);
         }
         return 0;
     }
 
-    private Roster known() {
+    /** Reads the file again. Endpoints, open ops and what was learned stay; a file with a fault changes nothing. */
+    private void reload(Node node) {
+        try {
+            Given next = read(file);
+            String from = given.needed("discovery");
+            String to = next.needed("discovery");
+            if (!to.equals(from)) {
+                node.moveDiscovery(to);
+            }
+            String later = List.of("name", "listen", "limits", "settings").stream()
+                    .filter(key -> !next.same(given, key)).collect(Collectors.joining(", "));
+            LOG.info("configuration read again; discovery " + (to.equals(from) ? "stays at " : "is now at ") + to
+                    + (later.isEmpty() ? "" : "; changed, and taken up at the next start only: " + later));
+            given = next;
+        } catch (FaultyKey faulty) {
+            LOG.severe("configuration not taken over, the old one holds: " + faulty.getMessage());
+        }
+    }
+
+    /** The platform has no other way to hear of this signal; named by reflection, as the compiler warns of the type. */
+    private static void onHangUp(Runnable then) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object heard = MethodHandleProxies.asInterfaceInstance(handler, MethodHandles.dropArguments(
+                    MethodHandles.lookup().bind(then, "run", MethodType.methodType(void.class)), 0, signal));
+            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
+                    .newInstance("HUP"), heard);
+        } catch (ReflectiveOperationException | IllegalArgumentException e) {
+            LOG.warning("SIGHUP can't be handled here, and would end the program: " + e);
+        }
+    }
+
+    private static Roster known(Given given) {
         try {
-            return Roster.of(given.below("known").tree());
+            return given.below("known").tree().isEmpty() ? null : Roster.of(given.below("known").tree());
         } catch (IllegalArgumentException e) {
             throw new FaultyKey("known", e.getMessage());
         }
     }
 
-    private InetSocketAddress address(String key) {
+    private static InetSocketAddress address(Given given, String key) {
         InetSocketAddress address = Address.parse(given.needed(key));
         if (address == null) {
             throw new FaultyKey(key, "not a numeric address and port: " + given.needed(key));
--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 /**
@@ -98,6 +99,12 @@
         return tree;
     }
 
+    /** Whether the same stands at and below a path in both. */
+    public boolean same(Given other, String path) {
+        return Objects.equals(values.get(path), other.values.get(path))
+                && below(path).values.equals(other.below(path).values);
+    }
+
     public Logic instance(long seed) {
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < number("tenants.count", 0); i++) {
--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -20,7 +20,7 @@
     private final Core core;
     private final LongSupplier clock;
     private final Connector connector;
-    private final String address;
+    private String address;
     private final long connectUs;
     private Link link;
     private Order.Watch asked; // null while no call is out
@@ -46,20 +46,36 @@
         } else {
             limitUs = clock.getAsLong() + connectUs;
             link = null;
-            Link opening = connector.open(address, this::connected);
+            Link opening = connector.open(address, up -> connected(order, up));
             link = asked == order && link == null ? opening : link;
         }
     }
 
-    private void connected(Link up) {
-        if (up == null) {
+    /** A connection that comes up, or fails, after its call was given up is no word on the call that is out now. */
+    private void connected(Order.Watch order, Link up) {
+        if (asked != order) {
+            if (up != null) {
+                up.close();
+            }
+        } else if (up == null) {
             fail();
-        } else if (asked != null) {
+        } else {
             link = up;
             send(up);
         }
     }
 
+    /** From now on the list is at another address; what is open to the old one is closed, the call on it dropped. */
+    void move(String to) {
+        Link old = link;
+        address = to;
+        asked = null;
+        link = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
     private void send(Link on) {
         limitUs = clock.getAsLong() + WAIT_MS * 1000 + GRACE_US;
         String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + WAIT_MS;
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -40,6 +40,7 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private final Loop loop = new Loop(this::look, this::turn, this::dueInUs);
     private volatile boolean stop;
+    private volatile String moveTo; // where the list is to be asked for from now on; null where it stays
     private volatile String self; // our own address, once we listen
     private final long startedUs;
     private long rehearsed;
@@ -109,6 +110,12 @@
         }
     }
 
+    /** Has the list asked for at another address, at once; all else stays. */
+    public void moveDiscovery(String address) {
+        moveTo = address;
+        loop.wake();
+    }
+
     /** Stops accepting when new connections have ceased to come, answers what it has taken, then is done. */
     public void stop() throws InterruptedException {
         stop = true;
@@ -133,6 +140,12 @@
         try {
             look();
             endpoints.sweep(now);
+            String to = moveTo;
+            if (to != null) {
+                moveTo = null;
+                discovery.move(to);
+                core.listMoved(now);
+            }
             discovery.sweep(now);
             for (Order order; (order = core.next(now)) != null;) {
                 carryOut(order);
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -93,6 +93,12 @@
         }
     }
 
+    /** The list is told from elsewhere now: all of it is asked for at once, as its numbers there may be others. */
+    public void listMoved(long nowUs) {
+        version = 0;
+        timer(nowUs, What.WATCH, 0, 0);
+    }
+
     /** The list can't be had, or a watch of it broke. */
     public void listFailed(long nowUs) {
         logic.listFailed(nowUs);
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -441,6 +441,52 @@
         assertTrue(process.isAlive());
     }
 
+    private void hangUp(String was, String is) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Files.readString(file).replace(was, is));
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor());
+    }
+
+    private void awaitLine(String part) throws IOException {
+        String line;
+        do {
+            line = log.readLine();
+            assertTrue(line != null, "no line with " + part);
+        } while (!line.contains(part));
+    }
+
+    /** A new configuration: what is open goes on, the list is asked for where discovery is now; a faulty file changes nothing. */
+    @Test
+    void hangUpReadsTheConfigurationAgain() throws Exception {
+        StandIn moved = standIn();
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        assertEquals("200", status(ask(socket, post("/read/before", 2000))));
+        socket.getOutputStream().write(post("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        while (!a.got.containsKey("/buy/slow")) {
+            Thread.sleep(5);
+        }
+        for (String fault : new String[] {"{\"discovery\":\"x\"}", "\"seed\":\"1f\"", "soon"}) {
+            String was = Files.readString(folder.resolve("config.json"));
+            hangUp(was, fault);
+            awaitLine("the old one holds");
+            Files.writeString(folder.resolve("config.json"), was);
+        }
+        hangUp(discovery.address(), moved.address());
+        awaitLine("is now at " + moved.address());
+        discovery.close();
+        moved.tell(entry("b", "in_service", b.address()) + "," + entry("a", "terminating", a.address()));
+        assertTrue(moved.requests.get(0).contains("since=0"), "its numbers may be others: " + moved.requests);
+        assertEquals("200", status(message(socket.getInputStream())), "what was open is answered on its connection");
+        for (int i = 0; i < 10; i++) {
+            assertEquals("200", status(ask(socket, post("/read/after", 2000))));
+        }
+        assertEquals(10, b.got.get("/read/after"));
+        hangUp("\"seed\"", "\"seed\"");
+        awaitLine("stays at " + moved.address());
+        assertEquals(1, a.accepted.get(), "nor did it lose a connection");
+    }
+
     @Test
     void aFaultyKeyIsNamed() throws Exception {
         start(entry("a", "in_service", a.address()), "\"ask_within_ms\":600", "\"ask_within_ms\":\"often\"");
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -142,6 +142,16 @@
         assertEquals(List.of(new Order.Watch(0)), only(Order.Watch.class, pass(200_000)), "numbers that began anew");
     }
 
+    @Test
+    void aListThatMovedIsAskedForWholeAndAtOnce() {
+        core.list(now, 7, true, List.of(listed("a", Health.UP, "h:1")), false);
+        pass(4_000_000);
+        core.listMoved(now);
+        assertEquals(List.of(new Order.Watch(0)), only(Order.Watch.class, pull()));
+        core.list(now, 3, true, List.of(listed("a", Health.UP, "h:1")), true);
+        assertEquals(List.of(new Order.Watch(3)), only(Order.Watch.class, pass(200_000)), "and its own numbers hold");
+    }
+
     @Test
     void aListThatAnswersAtOnceAgainAndAgainDoesNotSpin() {
         core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
