The door turns away what an endpoint would; a 4xx of an endpoint is final and no mark

Lines: Endpoints.kind (default -> ERROR), Listener .request (no check of the method against the category, of a body on GET, of an id that is open, of odd ids and targets). Ruled out by the probe: spoilt answers, which end at once.

--- a/src/main/java/dillcross/model/Outcome.java
+++ b/src/main/java/dillcross/model/Outcome.java
@@ -6,6 +6,8 @@
     ERROR(true, true),
     /** Turned away unseen by an endpoint that is full or draining; no mark against its health. */
     FULL(false, false),
+    /** The op itself was turned down, as any endpoint would; no mark against this one's health, and final. */
+    REJECTED(false, false),
     TIMED_OUT(true, true),
     CONNECT_FAILED(false, true),
     RESET(true, true),
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -185,7 +185,9 @@
         return switch (answer.status()) {
             case 200 -> Ending.Kind.ACKED;
             case 503, 504 -> "1".equals(answer.field(Names.NOT_STARTED)) ? Ending.Kind.TURNED_AWAY : Ending.Kind.ERROR;
-            default -> Ending.Kind.ERROR;
+            // Those speak of the endpoint or the moment; any other 4xx of the op, which no endpoint would take.
+            case 408, 425, 429 -> Ending.Kind.ERROR;
+            default -> answer.status() / 100 == 4 ? Ending.Kind.REJECTED : Ending.Kind.ERROR;
         };
     }
 
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -4,6 +4,7 @@
 import dillcross.model.Effect;
 import dillcross.sidecar.Core;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
     private final int most; // connections
     private final Budget budget;
     private final Set<Link> links = new LinkedHashSet<>();
+    private final Set<String> open = new HashSet<>(); // ids of requests that wait for their answer
     private TCPNIOServerConnection server;
     private boolean paused;
     private boolean ready;
@@ -101,9 +103,10 @@
     public NextAction handleClose(FilterChainContext ctx) {
         Link link = Link.of(ctx.getConnection());
         links.remove(link);
-        if (link.user instanceof Long op) {
+        if (link.user instanceof Waiting waiting) {
             link.user = null;
-            core.left(clock.getAsLong(), op);
+            open.remove(waiting.id());
+            core.left(clock.getAsLong(), waiting.op());
         }
         pause(false);
         link.free();
@@ -120,7 +123,7 @@
         } else if (ctx.getMessage() instanceof Message request) {
             request(link, request);
         } else {
-            reject(link, (Integer) ctx.getMessage(), "malformed request, or no room for it");
+            reject(link, Message.answer((Integer) ctx.getMessage(), "malformed request, or no room for it"));
         }
         return ctx.getStopAction();
     }
@@ -136,39 +139,74 @@
         }
         int second = path.indexOf('/', 1);
         Category category = categories.get(second < 0 ? path.substring(1) : path.substring(1, second));
+        String fault = category == null ? "unknown category" : fault(request, category);
+        if (fault != null) {
+            boolean method = category != null && !request.first().equals(method(category));
+            Message answer = Message.answer(category == null ? 404 : method ? 405 : 400, fault);
+            if (method) {
+                answer.fields().put("allow", method(category));
+            }
+            reject(link, answer);
+        } else {
+            String id = request.field(Names.ID);
+            long ttlUs = Math.min(mostTtlUs, Long.parseLong(request.field(Names.TIMEOUT)) * 1000);
+            open.add(id);
+            long op = core.arrive(clock.getAsLong(), new Caller(link, request), request, request.field(Names.TENANT),
+                    category.name(), ttlUs, "1".equals(request.field(Names.REPEAT)));
+            link.user = new Waiting(op, id);
+        }
+    }
+
+    /**
+     * What is wrong with it, or null. An endpoint would turn it away, or choke on it to the cost of whatever else waits on
+     * that connection; so it goes no further.
+     */
+    private String fault(Message request, Category category) {
         String timeout = request.field(Names.TIMEOUT);
-        if (!request.first().equals("GET") && !request.first().equals("POST")) {
-            reject(link, 405, "only GET and POST are served");
-        } else if (category == null) {
-            reject(link, 404, "unknown category");
+        boolean keyed = category.effect() == Effect.DEDUPLICATED;
+        if (!request.first().equals(method(category))) {
+            return "only " + method(category) + " is served here";
+        } else if (request.first().equals("GET") && request.body().length > 0) {
+            return "GET takes no body";
         } else if (timeout == null || !timeout.matches("[0-9]{1,9}") || Long.parseLong(timeout) == 0) {
-            reject(link, 400, Names.TIMEOUT + " has to be a whole number of milliseconds above 0");
-        } else if (request.field(Names.ID) == null || request.field(Names.ID).isEmpty()) {
-            reject(link, 400, Names.ID + " is missing");
-        } else if (category.effect() == Effect.DEDUPLICATED && request.field(Names.KEY) == null) {
-            reject(link, 400, Names.KEY + " is missing"); // a repeat could not be recognised
-        } else {
-            long ttlUs = Math.min(mostTtlUs, Long.parseLong(timeout) * 1000);
-            link.user = core.arrive(clock.getAsLong(), new Caller(link, request), request,
-                    request.field(Names.TENANT), category.name(), ttlUs, "1".equals(request.field(Names.REPEAT)));
+            return Names.TIMEOUT + " has to be a whole number of milliseconds above 0";
+        } else if (!plain(request.field(Names.ID))) {
+            return Names.ID + " is missing or malformed";
+        } else if (keyed && !plain(request.field(Names.KEY))) {
+            return Names.KEY + " is missing or malformed"; // a repeat could not be recognised
+        } else if (open.contains(request.field(Names.ID))) {
+            return Names.ID + " is that of a request that is open"; // its answer belongs to another
         }
+        return null;
+    }
+
+    private static String method(Category category) {
+        return category.effect() == Effect.REDELIVERABLE ? "GET" : "POST";
+    }
+
+    private static boolean plain(String text) {
+        return text != null && text.matches("[!-~]{1,128}");
     }
 
     /** Who waits for an op: the connection that it came on, and what it asked for. */
     record Caller(Link link, Message request) { }
 
+    /** What a connection waits for: the op, and the client's own name for it. */
+    private record Waiting(long op, String id) { }
+
     // ---- Answers
 
     /** A bad request is answered, its connection closed, and nothing goes further. */
-    private void reject(Link link, int status, String why) {
+    private void reject(Link link, Message answer) {
         link.closing = true;
         link.idleUs = clock.getAsLong();
-        write(link, Message.answer(status, why));
+        write(link, answer);
     }
 
     void answer(Object client, Message answer) {
         Caller caller = (Caller) client;
         caller.link().user = null;
+        open.remove(caller.request().field(Names.ID));
         answer(caller.link(), caller.request(), answer);
     }
 
--- a/src/main/java/dillcross/net/Message.java
+++ b/src/main/java/dillcross/net/Message.java
@@ -71,6 +71,7 @@
             case 200 -> "OK";
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
+            case 408 -> "Request Timeout";
             case 405 -> "Method Not Allowed";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -175,6 +175,8 @@
         } else if (order instanceof Order.Ack ack) {
             Message answer = (Message) ack.content();
             listener.answer(ack.client(), Message.answer(200, answer.passedOn(), answer.body()));
+        } else if (order instanceof Order.Reject reject) {
+            listener.answer(reject.client(), Message.answer(((Message) reject.content()).status(), "turned down"));
         } else if (order instanceof Order.Nack nack) {
             Message answer = Message.answer(503, "turned away, another try is harmless");
             if (nack.retryAfterUs() > 0) {
--- a/src/main/java/dillcross/net/Reader.java
+++ b/src/main/java/dillcross/net/Reader.java
@@ -187,7 +187,7 @@
         String[] parts = lines[0].split(" ", requests ? -1 : 3);
         Map<String, String> fields = new LinkedHashMap<>();
         boolean good = lines[0].chars().allMatch(c -> c >= ' ' && c != 127) && (requests
-                ? parts.length == 3 && token(parts[0]) && parts[1].startsWith("/") && parts[2].matches("HTTP/1\\.[01]")
+                ? parts.length == 3 && token(parts[0]) && parts[1].matches("/[!-~]*") && parts[2].matches("HTTP/1\\.[01]")
                 : parts.length >= 2 && parts[0].matches("HTTP/1\\.[01]") && parts[1].matches("[1-5][0-9][0-9]"));
         for (int i = 1; i < lines.length && good; i++) {
             int colon = lines[i].indexOf(':');
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -133,8 +133,10 @@
         push.ended = true;
         op.out--;
         Outcome outcome = ending.outcome(push.late);
-        if (outcome == Outcome.ACKED && !op.over) {
-            ready.add(new Order.Ack(op.client, ending.content()));
+        boolean passedOn = outcome == Outcome.ACKED || outcome == Outcome.REJECTED; // the endpoint's own word is final
+        if (passedOn && !op.over) {
+            ready.add(outcome == Outcome.ACKED ? new Order.Ack(op.client, ending.content())
+                    : new Order.Reject(op.client, ending.content()));
             op.over = true;
         }
         logic.ended(nowUs, id, number, outcome, nowUs - push.sentUs, op.over);
--- a/src/main/java/dillcross/sidecar/Ending.java
+++ b/src/main/java/dillcross/sidecar/Ending.java
@@ -6,7 +6,7 @@
 public record Ending(Kind kind, Reach reach, Object content) {
     /** What ended it. */
     public enum Kind {
-        ACKED, ERROR, TURNED_AWAY, BROKEN, GIVEN_UP,
+        ACKED, ERROR, TURNED_AWAY, REJECTED, BROKEN, GIVEN_UP,
         /** It was never begun, through no fault of the endpoint. */
         NOT_SENT
     }
@@ -17,6 +17,7 @@
             case ACKED -> Outcome.ACKED;
             case ERROR -> Outcome.ERROR;
             case TURNED_AWAY -> Outcome.FULL;
+            case REJECTED -> Outcome.REJECTED;
             // The endpoint begins with the last byte: what was not written whole has never run.
             case BROKEN -> reach == Reach.WHOLE_WRITTEN ? Outcome.RESET : Outcome.CONNECT_FAILED;
             case NOT_SENT -> Outcome.MOOT;
--- a/src/main/java/dillcross/sidecar/Order.java
+++ b/src/main/java/dillcross/sidecar/Order.java
@@ -11,6 +11,9 @@
     /** Pass an acked answer on to the client. */
     record Ack(Object client, Object content) implements Order { }
 
+    /** Tell the client that its op was turned down for what it is; the content is the endpoint's answer. */
+    record Reject(Object client, Object content) implements Order { }
+
     /** Tell the client that another try is harmless, in {@code retryAfterUs} if that is not 0. */
     record Nack(Object client, long retryAfterUs) implements Order { }
 
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -45,6 +45,7 @@
     private Process process;
     private BufferedReader log;
     private int port;
+    private final AtomicInteger ids = new AtomicInteger();
     private int sockets = 256; // the limit that it is told
 
     private static String read(InputStream in, int count) throws IOException {
@@ -115,7 +116,7 @@
                     got.merge(path, 1, Integer::sum);
                     String what = path.substring(path.lastIndexOf('/') + 1);
                     String reply = path.startsWith("/v1/") ? watch(path) : switch (what) {
-                        case "500" -> answer(500, "", "");
+                        case "500", "400" -> answer(Integer.parseInt(what), "", "");
                         case "full" -> answer(503, "Not-Started: 1\r\n", "");
                         case "plain503" -> answer(503, "", "");
                         case "cut" -> answer(200, "", BODY).substring(0, 50);
@@ -243,9 +244,12 @@
         return socket;
     }
 
-    private static String post(String path, int timeoutMs) {
-        return "POST " + path + " HTTP/1.1\r\nHost: app\r\nRequest-Id: 77\r\nRequest-Timeout-Ms: " + timeoutMs
-                + "\r\nIdempotency-Key: k9\r\nX-Trace: t\r\nContent-Length: 3\r\n\r\nabc";
+    /** A request as its category wants it, with an id of its own. */
+    private String op(String path, int timeoutMs) {
+        String head = " HTTP/1.1\r\nHost: app\r\nRequest-Id: r" + ids.incrementAndGet() + "\r\nRequest-Timeout-Ms: " + timeoutMs
+                + "\r\nX-Trace: t\r\n";
+        return path.startsWith("/read") ? "GET " + path + head + "\r\n"
+                : "POST " + path + head + "Idempotency-Key: k9\r\nContent-Length: 3\r\n\r\nabc";
     }
 
     private static String ask(Socket socket, String request) throws IOException {
@@ -264,11 +268,11 @@
     void eachOutcome(String what, String status) throws Exception {
         serving(entry("a", "in_service", a.address()));
         Socket socket = connect();
-        String answer = ask(socket, post("/buy/x/" + what, 600));
+        String answer = ask(socket, op("/buy/x/" + what, 600));
         assertEquals(status, status(answer), answer);
         assertEquals(1, a.got.get("/buy/x/" + what), "pushed once");
         String pushed = a.requests.get(0);
-        assertTrue(pushed.contains("request-id: 77\r\n") && pushed.contains("idempotency-key: k9\r\n")
+        assertTrue(pushed.contains("request-id: r1\r\n") && pushed.contains("idempotency-key: k9\r\n")
                 && pushed.contains("x-trace: t\r\n") && pushed.endsWith("\r\n\r\nabc"), pushed);
         int waitMs = Integer.parseInt(pushed.replaceAll("(?s).*request-timeout-ms: ([0-9]+).*", "$1"));
         assertTrue(waitMs > 0 && waitMs <= 600, pushed);
@@ -277,7 +281,7 @@
         }
         String after;
         do { // the module may stay away from it for a moment
-            after = status(ask(socket, post("/read/ok", 2000)));
+            after = status(ask(socket, op("/read/ok", 2000)));
         } while (after.equals("503"));
         assertEquals("200", after, "the connection and the sidecar live on");
     }
@@ -286,19 +290,19 @@
     void whatNeverConnectsIsNacked() throws Exception {
         a.close();
         serving(entry("a", "in_service", a.address()));
-        assertEquals("503", status(ask(connect(), post("/buy/ok", 600))));
+        assertEquals("503", status(ask(connect(), op("/buy/ok", 600))));
     }
 
     @Test
     void aClientThatLeavesTakesItsPushWithIt() throws Exception {
         serving(entry("a", "in_service", a.address()));
         Socket socket = connect();
-        socket.getOutputStream().write(post("/buy/hang", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().write(op("/buy/hang", 2000).getBytes(StandardCharsets.ISO_8859_1));
         while (!a.got.containsKey("/buy/hang")) {
             Thread.sleep(5);
         }
         socket.close();
-        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))));
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
     }
 
     @Test
@@ -321,12 +325,12 @@
         serving(entry("a", "in_service", a.address()));
         Socket first = connect();
         Socket second = connect();
-        first.getOutputStream().write(post("/read/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
-        assertEquals("200", status(ask(second, post("/read/slow", 2000))));
+        first.getOutputStream().write(op("/read/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals("200", status(ask(second, op("/read/slow", 2000))));
         assertEquals("200", status(message(first.getInputStream())));
         assertEquals(2, a.accepted.get());
-        assertEquals("502", status(ask(first, post("/buy/hang", 300))));
-        assertEquals("200", status(ask(first, post("/read/ok", 2000))));
+        assertEquals("502", status(ask(first, op("/buy/hang", 300))));
+        assertEquals("200", status(ask(first, op("/read/ok", 2000))));
         assertEquals(3, a.accepted.get());
     }
 
@@ -336,9 +340,9 @@
         start(entry("a", "in_service", a.address()), "\"keepalive_ms\":9000", "\"keepalive_ms\":300");
         awaitReady();
         Socket socket = connect();
-        assertEquals("200", status(ask(socket, post("/read/ok", 2000))));
+        assertEquals("200", status(ask(socket, op("/read/ok", 2000))));
         Thread.sleep(400);
-        assertEquals("200", status(ask(socket, post("/read/ok", 2000))));
+        assertEquals("200", status(ask(socket, op("/read/ok", 2000))));
         assertEquals(2, a.accepted.get());
     }
 
@@ -349,7 +353,7 @@
                 Socket over = new Socket(silent.getInetAddress(), silent.getLocalPort())) {
             serving(entry("a", "in_service", "127.0.0.1:" + silent.getLocalPort()));
             assertTrue(full.isConnected() && over.isConnected());
-            assertEquals("503", status(ask(connect(), post("/buy/ok", 1500))));
+            assertEquals("503", status(ask(connect(), op("/buy/ok", 1500))));
         }
     }
 
@@ -358,11 +362,11 @@
     void theListIsFollowedAndDrainsAreKept() throws Exception {
         serving(entry("a", "in_service", a.address()));
         Socket socket = connect();
-        assertEquals("200", status(ask(socket, post("/read/before", 2000))));
+        assertEquals("200", status(ask(socket, op("/read/before", 2000))));
         discovery.tell(entry("b", "in_service", b.address()) + "," + entry("a", "terminating", a.address()));
         int before = a.requests.size();
         for (int i = 0; i < 20; i++) {
-            assertEquals("200", status(ask(socket, post("/read/after", 2000))));
+            assertEquals("200", status(ask(socket, op("/read/after", 2000))));
         }
         assertEquals(before, a.requests.size());
         assertEquals(20, b.got.get("/read/after"));
@@ -374,10 +378,10 @@
         discovery.broken.addAll(List.of(answer(503, "", ""), answer(200, "", "{\"version\":"), "",
                 answer(200, "", "{\"version\":2,\"servers\":[{}]}")));
         serving(entry("a", "in_service", a.address()));
-        assertEquals("200", status(ask(connect(), post("/read/before", 2000))));
+        assertEquals("200", status(ask(connect(), op("/read/before", 2000))));
         discovery.tell(entry("b", "in_service", b.address()) + "," + entry("a", "terminated", a.address()));
         assertTrue(discovery.broken.isEmpty());
-        assertEquals("200", status(ask(connect(), post("/read/after", 2000))));
+        assertEquals("200", status(ask(connect(), op("/read/after", 2000))));
         assertEquals(1, b.got.get("/read/after"));
     }
 
@@ -389,7 +393,12 @@
         "GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n", "GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Timeout-Ms: 900\r\n\r\n",
         "GET /unheard/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\n\r\n",
         "DELETE /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\n\r\n",
-        "POST /buy/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 0\r\n\r\n"})
+        "POST /buy/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 0\r\n\r\n",
+        "GET /buy/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nIdempotency-Key: k\r\n\r\n",
+        "POST /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 0\r\n\r\n",
+        "GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\nContent-Length: 1\r\n\r\na",
+        "GET /read/x HTTP/1.1\r\nHost: a\r\nRequest-Id: a b\r\nRequest-Timeout-Ms: 900\r\n\r\n",
+        "GET /read/\u00e9 HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nRequest-Timeout-Ms: 900\r\n\r\n"})
     void badInputIsRefusedAndGoesNoFurther(String request) throws Exception {
         serving(entry("a", "in_service", a.address()));
         Socket socket = connect();
@@ -397,7 +406,35 @@
         assertTrue(status(answer).startsWith("4") && !status(answer).equals("429"), answer);
         assertEquals(-1, socket.getInputStream().read(), "closed");
         assertTrue(a.requests.isEmpty());
-        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))), "and it lives on");
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))), "and it lives on");
+    }
+
+    /** The answer to an id that is open belongs to the one who asked first. */
+    @Test
+    void anIdThatIsOpenIsNotTakenTwice() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket first = connect();
+        String request = op("/read/slow", 2000);
+        first.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        while (!a.got.containsKey("/read/slow")) {
+            Thread.sleep(5);
+        }
+        assertEquals("400", status(ask(connect(), request)));
+        assertEquals("200", status(message(first.getInputStream())));
+        assertEquals("200", status(ask(first, request)), "answered, it is free again");
+        assertEquals(2, a.got.get("/read/slow"));
+    }
+
+    /** What an endpoint turns down for what it is goes nowhere else, and is no mark against the endpoint. */
+    @Test
+    void whatAnEndpointTurnsDownIsTheClientsFault() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        for (int i = 0; i < 20; i++) {
+            assertEquals("400", status(ask(socket, op("/read/400", 2000))));
+        }
+        assertEquals(20, a.got.get("/read/400"), "each was pushed once");
+        assertEquals("200", status(ask(socket, op("/read/ok", 2000))), "and it was not ejected");
     }
 
     /** More clients than there are descriptors: some wait, none brings it down, and it serves when they have gone. */
@@ -412,7 +449,7 @@
         for (Socket socket : held) {
             socket.close();
         }
-        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))));
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
         assertTrue(process.isAlive());
     }
 
@@ -421,9 +458,9 @@
     void manyLargeRequestsAreBounded() throws Exception {
         sockets = 1024;
         serving(entry("a", "in_service", a.address()));
-        String request = post("/read/ok", 2000).replace("Content-Length: 3\r\n\r\nabc", "Content-Length: 60000\r\n\r\n") + "x".repeat(60_000);
         List<Socket> all = new ArrayList<>();
         for (int i = 0; i < 450; i++) {
+            String request = op("/buy/ok", 2000).replace("Content-Length: 3\r\n\r\nabc", "Content-Length: 60000\r\n\r\n") + "x".repeat(60_000);
             all.add(connect());
             all.get(i).getOutputStream().write(request.substring(0, request.length() - 1).getBytes(StandardCharsets.ISO_8859_1));
         }
@@ -437,7 +474,7 @@
         }
         Matcher peak = Pattern.compile("VmHWM:\\s*([0-9]+) kB").matcher(Files.readString(Path.of("/proc", process.pid() + "", "status")));
         assertTrue(peak.find() && Integer.parseInt(peak.group(1)) < 192 << 10, "within the memory it gets: " + peak.group(1) + " kB");
-        assertEquals("200", status(ask(connect(), post("/read/ok", 2000))));
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
         assertTrue(process.isAlive());
     }
 
@@ -461,8 +498,8 @@
         StandIn moved = standIn();
         serving(entry("a", "in_service", a.address()));
         Socket socket = connect();
-        assertEquals("200", status(ask(socket, post("/read/before", 2000))));
-        socket.getOutputStream().write(post("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals("200", status(ask(socket, op("/read/before", 2000))));
+        socket.getOutputStream().write(op("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
         while (!a.got.containsKey("/buy/slow")) {
             Thread.sleep(5);
         }
@@ -479,7 +516,7 @@
         assertTrue(moved.requests.get(0).contains("since=0"), "its numbers may be others: " + moved.requests);
         assertEquals("200", status(message(socket.getInputStream())), "what was open is answered on its connection");
         for (int i = 0; i < 10; i++) {
-            assertEquals("200", status(ask(socket, post("/read/after", 2000))));
+            assertEquals("200", status(ask(socket, op("/read/after", 2000))));
         }
         assertEquals(10, b.got.get("/read/after"));
         hangUp("\"seed\"", "\"seed\"");
@@ -500,15 +537,15 @@
     void aPlannedStopAnswersAll() throws Exception {
         serving(entry("a", "in_service", a.address()));
         Socket idle = connect();
-        assertEquals("200", status(ask(idle, post("/read/ok", 2000))));
+        assertEquals("200", status(ask(idle, op("/read/ok", 2000))));
         Socket busy = connect();
-        busy.getOutputStream().write(post("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
+        busy.getOutputStream().write(op("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
         while (!a.got.containsKey("/buy/slow")) {
             Thread.sleep(5);
         }
         process.destroy(); // SIGTERM
         assertEquals(-1, idle.getInputStream().read(), "what carries nothing is closed");
-        String late = ask(connect(), post("/read/ok", 2000));
+        String late = ask(connect(), op("/read/ok", 2000));
         assertEquals("200", status(late), "a new connection is still served");
         assertTrue(late.contains("connection: close"), late);
         String answer = message(busy.getInputStream());
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -74,7 +74,7 @@
         "buy,BROKEN,NOT_CONNECTED,Nack", "buy,NOT_SENT,NOT_CONNECTED,Nack", "buy,BROKEN,PARTLY_WRITTEN,Nack", "buy,BROKEN,WHOLE_WRITTEN,DeadLetter",
         "once,ERROR,WHOLE_WRITTEN,DeadLetter", "once,TURNED_AWAY,WHOLE_WRITTEN,Nack",
         "once,BROKEN,PARTLY_WRITTEN,Nack", "once,BROKEN,WHOLE_WRITTEN,DeadLetter",
-        "read,ACKED,WHOLE_WRITTEN,Ack", "read,ERROR,WHOLE_WRITTEN,Nack", "read,BROKEN,WHOLE_WRITTEN,Nack"})
+        "read,ACKED,WHOLE_WRITTEN,Ack", "read,REJECTED,WHOLE_WRITTEN,Reject", "buy,REJECTED,WHOLE_WRITTEN,Reject", "read,ERROR,WHOLE_WRITTEN,Nack", "read,BROKEN,WHOLE_WRITTEN,Nack"})
     void eachOutcomeGetsItsAnswer(String category, Ending.Kind kind, Reach came, String answer) {
         core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
         Order.Push push = push(category);
