--- a/src/main/java/dillcross/net/HttpFilter.java
+++ b/src/main/java/dillcross/net/HttpFilter.java
@@ -26,9 +26,7 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         Link link = Link.of(ctx.getConnection());
-        if (link.closing) {
-            link.in.skip(link.in.size()); // its answer is on the way; what still comes is not looked at
-        } else if (!(server && link.user != null)) {
+        if (!link.closing && !(server && link.user != null)) {
             Message message = link.reader.read(link.in, link.ended && !link.reset);
             if (server && link.reader.takeWantsMore()) {
                 link.out.add(CONTINUE);
--- a/src/main/java/dillcross/net/Link.java
+++ b/src/main/java/dillcross/net/Link.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -16,6 +17,8 @@
 
 /** One connection: its two rings, what is read from them, and whom it serves at the moment. */
 final class Link {
+    private static final int MOST_DROPPED = 1 << 20; // of what still comes after a last answer
+    private static final ByteBuffer DROPPED = ByteBuffer.allocate(32 << 10); // nobody looks at it
     private static final int MOST = 128 << 10; // the largest message, its framing, and what may come before it is read
     private static final Attribute<Link> OF = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("dillcross.link");
 
@@ -27,6 +30,8 @@
     boolean connected;
     boolean ended; // nothing more comes from the other side
     boolean reset; // ... and what came may be cut short
+    int asked; // whole requests that it brought
+    private int dropped;
     boolean closing; // to be closed when all is written
     long idleUs; // since when it carries none
     long partialUs; // since when it holds a part of a message; 0 while it does not
@@ -47,14 +52,31 @@
 
     /** Reads what has come into the ring; the end of the other side's sending is noted, not thrown. */
     void fill() {
+        SocketChannel from = (SocketChannel) connection.getChannel();
         try {
-            ended |= in.read((SocketChannel) connection.getChannel()) < 0;
+            ended |= (closing ? drop(from) : in.read(from)) < 0;
         } catch (IOException e) {
             ended = true;
             reset = true;
         }
     }
 
+    /**
+     * Reads on after a last answer, so that no reset overtakes it, but not for ever: who has 60 MB to send would take the
+     * time of the others.
+     */
+    private int drop(SocketChannel from) throws IOException {
+        in.skip(in.size());
+        int got = from.read(DROPPED.clear());
+        dropped += Math.max(0, got);
+        return dropped > MOST_DROPPED ? -1 : got;
+    }
+
+    /** A part of a message has come. */
+    boolean partial() {
+        return in.size() > 0 || reader.within();
+    }
+
     /** Puts a message in to be written; false where there is no room for it, and then nothing of it is sent. */
     boolean add(byte[] message) {
         unsent = !out.add(message);
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -20,8 +20,11 @@
 
 /** The clients' side: requests to ops, answers to clients. */
 final class Listener extends BaseFilter {
-    private static final long LINGER_US = 1_000_000; // for the other side to read a last answer and close
-    private static final long PARTIAL_US = 10_000_000; // that a request may take to come, or an answer to be read
+    private static final long LINGER_US = 500_000; // for the other side to read a last answer and close
+    private static final long BRING_US = 2_000_000; // that a request may take to come, or an answer to be read
+    private static final long IDLE_US = 20_000_000; // without a request: who asks once and stays must not add up
+    private static final long REUSED_US = 2_000_000; // who asked again and again of late is closed last
+    private static final long LOG_US = 10_000_000;
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
 
     private final Core core;
@@ -30,10 +33,11 @@
     private final long mostTtlUs;
     private final int most; // connections
     private final Budget budget;
-    private final Set<Link> links = new LinkedHashSet<>();
+    private final Set<Link> links = new LinkedHashSet<>(); // those that carry nothing in the order since when
     private final Set<String> open = new HashSet<>(); // ids of requests that wait for their answer
     private TCPNIOServerConnection server;
     private boolean paused;
+    private long loggedUs;
     private boolean ready;
     private boolean draining;
 
@@ -63,7 +67,7 @@
         link.connected = true;
         link.idleUs = clock.getAsLong();
         links.add(link);
-        if (links.size() >= most && !closeOneIdle(link)) {
+        if (links.size() >= most && !closeOne(link)) {
             pause(true); // at the limit an accept would fail, and fail again, and spin
         }
         return ctx.getInvokeAction();
@@ -71,16 +75,28 @@
 
     /** It carries nothing, and nothing is lost when it is closed. */
     private static boolean idle(Link link) {
-        return link.user == null && link.in.size() == 0 && !link.reader.within() && link.out.size() == 0;
+        return link.user == null && !link.partial() && link.out.size() == 0;
     }
 
-    private boolean closeOneIdle(Link but) {
-        Link longest = links.stream().filter(l -> l != but && idle(l)).min(Comparator.comparingLong(l -> l.idleUs))
-                .orElse(null);
-        if (longest != null) {
-            longest.close();
+    /**
+     * Makes room: of those with no open request, whole or not, the one that brought none for the longest, or crowds that
+     * connect and say nothing, or ask once and stay, would keep the usual clients out. Those come last.
+     */
+    private boolean closeOne(Link but) {
+        Link last = null;
+        for (Link link : links) {
+            if (link != but && link.user == null && link.out.size() == 0 && link.connection.isOpen()) {
+                if (link.asked < 2 || clock.getAsLong() - link.idleUs > REUSED_US) {
+                    last = link;
+                    break;
+                }
+                last = last == null ? link : last;
+            }
         }
-        return longest != null;
+        if (last != null) {
+            last.close();
+        }
+        return last != null;
     }
 
     private void pause(boolean now) {
@@ -88,7 +104,10 @@
             paused = now;
             try {
                 if (now) {
-                    LOG.warning("at the limit of client connections; new ones wait");
+                    if (clock.getAsLong() - loggedUs > LOG_US) { // not at every turn of a crowd
+                        loggedUs = clock.getAsLong();
+                        LOG.warning("at the limit of client connections, all with open requests; new ones wait");
+                    }
                     server.disableIOEvent(IOEvent.SERVER_ACCEPT);
                 } else {
                     server.enableIOEvent(IOEvent.SERVER_ACCEPT);
@@ -129,6 +148,7 @@
     }
 
     private void request(Link link, Message request) {
+        link.asked++;
         String target = request.second();
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
@@ -199,7 +219,7 @@
     /** A bad request is answered, its connection closed, and nothing goes further. */
     private void reject(Link link, Message answer) {
         link.closing = true;
-        link.idleUs = clock.getAsLong();
+        rests(link);
         write(link, answer);
     }
 
@@ -211,14 +231,22 @@
     }
 
     private void answer(Link link, Message request, Message answer) {
-        link.idleUs = clock.getAsLong();
+        rests(link);
         link.closing = draining || !request.keepsAlive();
         write(link, answer);
+        pause(false); // it may make room now
         if (!link.closing && link.in.size() > 0) {
             next(link);
         }
     }
 
+    /** From now on it carries nothing: it goes to the end of those that wait to be closed. */
+    private void rests(Link link) {
+        link.idleUs = clock.getAsLong();
+        links.remove(link);
+        links.add(link);
+    }
+
     /** What came while this one was carried out waits in the ring. */
     private static void next(Link link) {
         try {
@@ -257,13 +285,21 @@
         return links.stream().allMatch(l -> l.user == null && l.out.size() == 0 && !l.reader.within());
     }
 
+    /**
+     * Who brings no whole request in time is told so, or closed where it has said nothing; who does not read its answer is
+     * closed: a slow client would use up the limit.
+     */
     void sweep(long nowUs) {
         for (Link link : List.copyOf(links)) {
-            boolean partial = link.user == null && !idle(link);
-            link.partialUs = !partial ? 0 : link.partialUs == 0 ? nowUs : link.partialUs;
-            boolean stuck = partial && nowUs - link.partialUs > PARTIAL_US; // or slow clients would use up the limit
-            if (stuck || link.closing && nowUs - link.idleUs > LINGER_US) {
+            boolean waits = link.user != null || idle(link) && link.asked > 0;
+            // The first request counts from connecting, a later one from its first byte.
+            link.partialUs = waits ? 0 : link.partialUs > 0 ? link.partialUs : link.asked == 0 ? link.idleUs : nowUs;
+            boolean late = !waits && nowUs - link.partialUs > BRING_US;
+            if (link.closing ? nowUs - link.idleUs > LINGER_US : late && !link.partial()
+                    || idle(link) && nowUs - link.idleUs > IDLE_US) {
                 link.close();
+            } else if (late && !link.closing) {
+                reject(link, Message.answer(408, "the request did not come whole in time"));
             }
         }
     }
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -437,22 +437,48 @@
         assertEquals("200", status(ask(socket, op("/read/ok", 2000))), "and it was not ejected");
     }
 
-    /** More clients than there are descriptors: some wait, none brings it down, and it serves when they have gone. */
-    @Test
-    void atTheLimitOfConnectionsItLives() throws Exception {
+    /** More clients than there are descriptors, none with a whole request: the usual ones are served meanwhile. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "G", "once"})
+    void aCrowdDoesNotKeepTheUsualClientsOut(String what) throws Exception {
         serving(entry("a", "in_service", a.address()));
-        List<Socket> held = new ArrayList<>();
-        for (int i = 0; i < 300; i++) {
-            held.add(connect());
-            held.get(i).getOutputStream().write('G'); // not idle: the rest of it may come
+        Socket usual = connect();
+        for (int i = 0; i < 3; i++) {
+            assertEquals("200", status(ask(usual, op("/read/ok", 2000))));
         }
-        for (Socket socket : held) {
-            socket.close();
+        for (int i = 0; i < 300; i++) {
+            Socket one = connect();
+            if (what.equals("once")) {
+                assertEquals("200", status(ask(one, op("/read/ok", 2000))));
+            } else {
+                one.getOutputStream().write(what.getBytes(StandardCharsets.ISO_8859_1));
+            }
         }
-        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
+        Socket late = connect();
+        late.setSoTimeout(8000); // not when the crowd has given up
+        assertEquals("200", status(ask(late, op("/read/ok", 2000))));
+        assertEquals("200", status(ask(usual, op("/read/ok", 2000))), "who asked again and again kept its connection");
         assertTrue(process.isAlive());
     }
 
+    /** Who says nothing is closed, who says half is told so; what is sent after an error does not eat its answer. */
+    @Test
+    void slowClientsAreTimed() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket silent = connect();
+        Socket half = connect();
+        assertEquals("200", status(ask(half, op("/read/ok", 2000))));
+        String answer = ask(half, "GET /read/ok HTTP/1.1\r\nHost");
+        assertEquals("408", status(answer), answer);
+        assertEquals(-1, half.getInputStream().read(), "and closed");
+        assertEquals(-1, silent.getInputStream().read());
+        Socket large = connect();
+        answer = ask(large, "POST /buy/x HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n" + "x".repeat(400_000));
+        assertEquals("413", status(answer), answer);
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
+        assertEquals(2, a.requests.size());
+    }
+
     /** Many large requests at once, more than the memory holds: each is served or turned away, none brings it down. */
     @Test
     void manyLargeRequestsAreBounded() throws Exception {
