Watches of the list are short, and one that falls silent is given up a second after its time

Lines: Discovery.WAIT_MS and GRACE_US let a silent call stand for 23 s. Calls of the whole fleet stay under 50 a second by settings.balancers.

--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -43,6 +43,7 @@
         settings.mostTtlUs();
         settings.connectUs();
         settings.keepUs();
+        settings.watchMs();
         read.descriptors();
         return read;
     }
@@ -71,7 +72,7 @@
             core.list(clock.getAsLong(), known.version(), true, known.entries(), false);
         }
         Node node = new Node(core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
-                settings.connectUs(), settings.keepUs(), Math.min(given.descriptors(), allowed()));
+                settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop();
--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -26,6 +26,9 @@
  * read, checked and given defaults; unknown keys are skipped, absent ones get a careful default.
  */
 public final class Given {
+    private static final long LEAST_WATCH_MS = 2_000;
+    private static final long MOST_WATCH_MS = 20_000;
+    private static final long WATCHES_PER_S = 50; // by all sidecars together
     private static final String ENVIRONMENT = "NODE_"; // begins the names of its variables
     private final Map<String, String> values;
     private final Map<?, ?> tree;
@@ -158,6 +161,11 @@
         return Math.max(1000, micros("limits.keepalive_ms", 15_000));
     }
 
+    /** How long a watch of the list may wait: short, as one can fall silent, but a large fleet asks less often each. */
+    public long watchMs() {
+        return Math.min(MOST_WATCH_MS, Math.max(LEAST_WATCH_MS, (long) number("balancers", 1) * 1000 / WATCHES_PER_S));
+    }
+
     public int descriptors() {
         double most = number("limits.sockets", 1024);
         if (most < 128) {
--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -12,8 +12,8 @@
 
 /** Watches of the list, one at a time, on a connection that is kept. Each is reported once: news, or failed. */
 final class Discovery extends BaseFilter {
-    private static final long WAIT_MS = 20_000; // that a watch may wait for news
-    private static final long GRACE_US = 3_000_000; // beyond it, until the call counts as lost
+    private static final long GRACE_US = 1_000_000; // beyond a watch's wait, until the call counts as lost
+    private static final long PATIENT_US = 3_000_000; // ... where the last one failed too: it may be slow, not silent
 
     private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
 
@@ -22,17 +22,19 @@
     private final Connector connector;
     private String address;
     private final long connectUs;
+    private final long waitMs; // that a watch may wait for news; one that falls silent is not noticed sooner
     private Link link;
     private Order.Watch asked; // null while no call is out
     private long limitUs;
     private boolean failing;
 
     Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, long connectUs,
-            Budget budget) {
+            long waitMs, Budget budget) {
         this.core = core;
         this.clock = clock;
         this.address = address;
         this.connectUs = connectUs;
+        this.waitMs = waitMs;
         connector = new Connector(transport, this, budget);
     }
 
@@ -77,8 +79,8 @@
     }
 
     private void send(Link on) {
-        limitUs = clock.getAsLong() + WAIT_MS * 1000 + GRACE_US;
-        String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + WAIT_MS;
+        limitUs = clock.getAsLong() + waitMs * 1000 + (failing ? PATIENT_US : GRACE_US);
+        String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + waitMs;
         on.connection.write(Message.request("GET", target, Map.of("host", address), Message.NOTHING));
     }
 
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -51,7 +51,7 @@
     private boolean accepting = true;
 
     public Node(Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
-            long connectUs, long keepUs, int descriptors) {
+            long connectUs, long keepUs, long watchMs, int descriptors) {
         this.core = core;
         this.clock = clock;
         this.mostTtlUs = mostTtlUs;
@@ -71,7 +71,7 @@
         endpoints = new Endpoints(transport, core, this::now, connectUs, keepUs - keepUs / 10, half,
                 budget);
         discovery = new Discovery(transport, core, this::now, discoveryAddress, Math.max(connectUs, 1_000_000),
-                budget);
+                watchMs, budget);
     }
 
     public void start(InetSocketAddress listen) throws IOException {
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -126,7 +126,7 @@
                                 + "\r\n" + BODY + "\r\n0\r\n\r\n";
                         default -> answer(200, "Content-Type: text/odd\r\nServer-Load: TEXT queue=1\r\n", BODY);
                     };
-                    if (what.equals("hang")) {
+                    if (what.equals("hang") || reply.equals("silent")) {
                         new CountDownLatch(1).await();
                     } else if (what.equals("slow")) {
                         Thread.sleep(700);
@@ -372,6 +372,17 @@
         assertEquals(20, b.got.get("/read/after"));
     }
 
+    /** A watch that falls silent is given up before long, and the list asked for anew. */
+    @Test
+    @Timeout(18)
+    void aWatchThatFallsSilentIsAskedAgain() throws Exception {
+        discovery.broken.add("silent");
+        serving(entry("a", "in_service", a.address()));
+        discovery.tell(entry("b", "in_service", b.address()) + "," + entry("a", "terminated", a.address()));
+        assertEquals("200", status(ask(connect(), op("/read/after", 2000))));
+        assertEquals(1, b.got.get("/read/after"));
+    }
+
     /** Discovery that is down, overloaded or talks nonsense: the last list holds, and news comes through when it is back. */
     @Test
     void aListOutOfReachIsAskedForAgain() throws Exception {
--- a/src/test/java/dillcross/config/GivenTest.java
+++ b/src/test/java/dillcross/config/GivenTest.java
@@ -44,6 +44,13 @@
         assertTrue(fault.getMessage().startsWith(key) || fault.getMessage().contains(key + ":"), fault.getMessage());
     }
 
+    /** A silent watch is noticed soon; a fleet of sidecars does not ask more often for it than discovery can bear. */
+    @ParameterizedTest
+    @CsvSource({"1,2000", "100,2000", "500,10000", "9000,20000"})
+    void watchesAreShortInSmallFleets(int sidecars, long ms) throws IOException {
+        assertEquals(ms, given("{\"settings\":{\"balancers\":" + sidecars + "}}").below("settings").watchMs());
+    }
+
     @Test
     void theFileComesBeforeTheEnvironment() throws IOException {
         Given given = given("{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\"}");
