Answers that can't be one end at once; what comes behind a good one answers nothing

Seen in the code, then by tests that fail without it: noise of under 16 kB without a line end, an answer with no length on a kept connection, and interim answers without end held their push until its TTL (Reader.readHead, parse); a head with control characters in its load report spoilt a good answer; bytes that came behind an answer after it was read were noticed only by the next read, so the next request could meet them (Endpoints.push). Now the socket is looked at before a kept connection is used, and one that rested 2 ms goes first.

--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -37,6 +38,8 @@
 
     private record Key(long op, int push) { }
 
+    private static final long REST_US = 2_000; // after an answer, for what may come behind it
+
     private final Core core;
     private final LongSupplier clock;
     private final Connector connector;
@@ -62,14 +65,10 @@
     void push(Order.Push push) {
         Exchange exchange = new Exchange(push, clock.getAsLong(), connectUs);
         exchanges.put(new Key(push.op(), push.push()), exchange);
-        ArrayDeque<Link> free = idle.get(push.address());
-        for (Link link; free != null && (link = free.pollLast()) != null;) {
-            if (usable(link)) {
-                exchange.link = link;
-                send(exchange);
-                return;
-            }
-            link.close();
+        exchange.link = take(push.address());
+        if (exchange.link != null) {
+            send(exchange);
+            return;
         }
         if (open >= most && !closeOneIdle()) {
             end(exchange, Ending.Kind.NOT_SENT, null); // our limit is no mark against the endpoint
@@ -80,9 +79,37 @@
         exchange.link = connector.open(push.address(), up -> connected(exchange, up));
     }
 
-    /** The endpoint closes what is idle for long, and a request that crosses that is lost: we close before it does. */
+    /**
+     * A connection that is free: the one used last, as it is the least likely to be dead, of those that rested a little,
+     * since what comes late behind an answer would answer the next request; or else the one that rested longest.
+     */
+    private Link take(String address) {
+        ArrayDeque<Link> free = idle.get(address);
+        Link taken = null;
+        for (Link link : free == null ? List.<Link>of() : List.copyOf(free)) {
+            if (!usable(link)) {
+                free.remove(link);
+                link.close();
+            } else if (taken == null || clock.getAsLong() - link.idleUs >= REST_US) {
+                taken = link;
+            }
+        }
+        if (taken != null) {
+            free.remove(taken);
+        }
+        return taken;
+    }
+
+    /**
+     * Looks at the socket itself: what came since its answer belongs to nobody. The endpoint closes what is idle for long,
+     * and a request that crosses that is lost, so we close before it does.
+     */
     private boolean usable(Link link) {
-        return link.connection.isOpen() && !link.ended && clock.getAsLong() - link.idleUs < idleUs;
+        if (link.connection.isOpen() && !link.ended && clock.getAsLong() - link.idleUs < idleUs) {
+            link.fill();
+            return !link.ended && link.in.size() == 0;
+        }
+        return false;
     }
 
     private boolean closeOneIdle() {
--- a/src/main/java/dillcross/net/Names.java
+++ b/src/main/java/dillcross/net/Names.java
@@ -8,6 +8,7 @@
     static final String REPEAT = "client-retry";
     static final String NOT_STARTED = "not-started";
     static final String RETRY_AFTER = "retry-after";
+    static final String LOAD = "server-load";
     static final String TENANT = "tenant";
     static final String HEALTH_PATH = "/healthz";
 
--- a/src/main/java/dillcross/net/Reader.java
+++ b/src/main/java/dillcross/net/Reader.java
@@ -13,6 +13,9 @@
 final class Reader {
     static final int MOST_BODY = 64 << 10;
     private static final int MOST_HEAD = 16 << 10;
+    private static final int MOST_REQUEST_HEAD = 8 << 10; // an endpoint may take no more
+    private static final int MOST_INTERIM = 16; // answers ahead of the answer: some are usual, more are without end
+    private static final String VERSION = "HTTP/1."; // that each answer begins with
     private static final int UNTIL_CLOSE = -1;
     /** A second one of these would leave open which holds. */
     private static final Set<String> SINGLE = Set.of("content-length", "transfer-encoding", "host", Names.ID,
@@ -23,6 +26,7 @@
     private int length; // of that body, or UNTIL_CLOSE
     private boolean chunked;
     private ByteArrayOutputStream chunks;
+    private int interim;
     private int scanned; // bytes already searched for the end of the head
     private int fault; // status that says what is wrong with the input; 0 while nothing is
     private boolean wantsMore; // the sender waits for a sign before it sends the body
@@ -55,8 +59,12 @@
             }
             if (!requests && head.second().charAt(0) == '1') { // an interim answer
                 head = null;
+                if (++interim > MOST_INTERIM) {
+                    fail(431);
+                }
                 continue;
             }
+            interim = 0;
             byte[] body = chunked ? readChunks(in) : readBody(in, ended);
             if (body == null) {
                 return null;
@@ -172,8 +180,11 @@
             end = in.at(i) == '\r' && in.at(i + 1) == '\n' && in.at(i + 2) == '\r' && in.at(i + 3) == '\n' ? i : -1;
         }
         scanned = in.size();
-        if (end > MOST_HEAD || end < 0 && in.size() > MOST_HEAD) {
+        int most = requests ? MOST_REQUEST_HEAD : MOST_HEAD;
+        if (end > most || end < 0 && in.size() > most) {
             fail(431);
+        } else if (end < 0 && !begins(in)) {
+            fail(400);
         } else if (end >= 0) {
             String[] lines = text(in, 0, end).split("\r\n", -1);
             in.skip(end + 4);
@@ -183,6 +194,20 @@
         return head != null;
     }
 
+    /** Whether what has come can be the start of a message: noise may never end, and its push would wait till its TTL. */
+    private boolean begins(Ring in) {
+        int count = Math.min(in.size(), VERSION.length());
+        for (int i = 0; i < count; i++) {
+            char c = (char) (in.at(i) & 0xff);
+            boolean wanted = requests ? c >= ' ' && c < 127 || c == '\r' || c == '\n' && i > 0 : c == VERSION.charAt(i)
+                    || c == (i % 2 == 0 ? '\r' : '\n') && i < 2;
+            if (!wanted) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void parse(String[] lines) {
         String[] parts = lines[0].split(" ", requests ? -1 : 3);
         Map<String, String> fields = new LinkedHashMap<>();
@@ -191,8 +216,11 @@
                 : parts.length >= 2 && parts[0].matches("HTTP/1\\.[01]") && parts[1].matches("[1-5][0-9][0-9]"));
         for (int i = 1; i < lines.length && good; i++) {
             int colon = lines[i].indexOf(':');
-            good = colon > 0 && token(lines[i].substring(0, colon))
-                    && lines[i].chars().allMatch(c -> c >= ' ' && c != 127 || c == '\t');
+            good = colon > 0 && token(lines[i].substring(0, colon));
+            if (good && !requests && lines[i].substring(0, colon).equalsIgnoreCase(Names.LOAD)) {
+                continue; // nothing here goes by it, so one that can't be read spoils no answer
+            }
+            good &= lines[i].chars().allMatch(c -> c >= ' ' && c != 127 || c == '\t');
             if (good) {
                 String name = lines[i].substring(0, colon).toLowerCase(java.util.Locale.ROOT);
                 String value = lines[i].substring(colon + 1).trim();
@@ -221,6 +249,11 @@
             fail(413);
             return;
         }
+        boolean closes = parts[0].equals("HTTP/1.0") || fields.getOrDefault("connection", "").equalsIgnoreCase("close");
+        if (said == UNTIL_CLOSE && !closes) {
+            fail(400); // its end could not be told from a cut, or would never come
+            return;
+        }
         length = (int) said;
         wantsMore = "100-continue".equalsIgnoreCase(fields.get("expect")) && (chunked || length > 0);
         head = new Message(parts[0], parts[1], third, fields, Message.NOTHING);
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -122,6 +122,10 @@
                         case "cut" -> answer(200, "", BODY).substring(0, 50);
                         case "garbled" -> "hello\r\n\r\n";
                         case "reset" -> "";
+                        case "noise" -> "\u0001\u0002 no answer";
+                        case "endless" -> "HTTP/1.1 200 x\r\n\r\nand more";
+                        case "huge" -> "HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n" + "x".repeat(100_000);
+                        case "twice" -> "HTTP/1.1 100 x\r\n\r\n" + answer(200, "Server-Load: \u0001\r\n", BODY) + answer(200, "", "stale");
                         case "chunked" -> "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(BODY.length())
                                 + "\r\n" + BODY + "\r\n0\r\n\r\n";
                         default -> answer(200, "Content-Type: text/odd\r\nServer-Load: TEXT queue=1\r\n", BODY);
@@ -132,6 +136,11 @@
                         Thread.sleep(700);
                     }
                     socket.getOutputStream().write(reply.getBytes(StandardCharsets.ISO_8859_1));
+                    if (what.equals("late")) {
+                        Thread.sleep(300);
+                        socket.getOutputStream().write(answer(200, "", "stale").getBytes(StandardCharsets.ISO_8859_1));
+                        got.put("written", 1);
+                    }
                     if (List.of("cut", "reset", "garbled").contains(what)) {
                         return;
                     }
@@ -286,6 +295,36 @@
         assertEquals("200", after, "the connection and the sidecar live on");
     }
 
+    /** A spoilt answer may have run: it ends its push at once, and its connection; nothing of it reaches a client. */
+    @ParameterizedTest
+    @ValueSource(strings = {"noise", "endless", "huge"})
+    void aSpoiltAnswerEndsItsPushAtOnce(String what) throws Exception {
+        start(entry("a", "in_service", a.address()), "\"ttl_ms\":2000", "\"ttl_ms\":60000");
+        awaitReady();
+        Socket socket = connect();
+        assertEquals("502", status(ask(socket, op("/buy/" + what, 60_000))));
+        assertEquals("200", status(ask(socket, op("/buy/ok", 2000))));
+        assertEquals(2, a.accepted.get());
+    }
+
+    /** What comes behind a good answer, with it or late, belongs to nobody: it must not answer the next request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"twice", "late"})
+    void whatComesBehindAnAnswerAnswersNothing(String what) throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        String answer = ask(socket, op("/read/" + what, 2000));
+        assertTrue(status(answer).equals("200") && answer.endsWith(BODY), answer);
+        while (what.equals("late") && !a.got.containsKey("written")) {
+            Thread.sleep(1);
+        }
+        for (int i = 0; i < 5; i++) {
+            answer = ask(socket, op("/read/ok", 2000));
+            assertTrue(status(answer).equals("200") && answer.endsWith(BODY), answer);
+        }
+        assertEquals(2, a.accepted.get());
+    }
+
     @Test
     void whatNeverConnectsIsNacked() throws Exception {
         a.close();
