Connections belong to an endpoint and leave with it, not with its address

Seen in the code, then by tests that fail without it: Endpoints.idle was kept by address, so a new id there inherited the connections of the one that had gone (accepted stayed 1 over 20 replacements); closed connections waited in it behind usable ones; the count of open ones could drift where a connect was given up. Order.Forget now comes when an id leaves, drains, moves or starts anew.

--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -6,9 +6,11 @@
 import dillcross.sidecar.Reach;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -20,12 +22,14 @@
     /** One push that is out. */
     private static final class Exchange {
         final Order.Push push;
+        final Pool pool;
         final long sentUs;
         final long connectByUs;
         Link link; // null until it is opened
 
-        Exchange(Order.Push push, long sentUs, long connectUs) {
+        Exchange(Order.Push push, Pool pool, long sentUs, long connectUs) {
             this.push = push;
+            this.pool = pool;
             this.sentUs = sentUs;
             connectByUs = sentUs + connectUs;
         }
@@ -38,6 +42,9 @@
 
     private record Key(long op, int push) { }
 
+    /** The connections to one endpoint that are free. Another endpoint at its address, later, has a pool of its own. */
+    private record Pool(String address, ArrayDeque<Link> free) { }
+
     private static final long REST_US = 2_000; // after an answer, for what may come behind it
 
     private final Core core;
@@ -48,8 +55,8 @@
     private final int most; // connections
     private final Map<Key, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Exchange> connecting = new ArrayDeque<>(); // in the order of their limits
-    private final Map<String, ArrayDeque<Link>> idle = new LinkedHashMap<>();
-    private int open;
+    private final Map<String, Pool> pools = new LinkedHashMap<>(); // by endpoint, until it is to be forgotten
+    private final Set<Link> links = new HashSet<>(); // all that are open or opening
     private long sweptUs;
 
     Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, long connectUs, long idleUs, int most,
@@ -63,33 +70,46 @@
     }
 
     void push(Order.Push push) {
-        Exchange exchange = new Exchange(push, clock.getAsLong(), connectUs);
+        Pool pool = pools.get(push.endpoint());
+        if (pool == null || !pool.address().equals(push.address())) {
+            forget(push.endpoint());
+            pool = new Pool(push.address(), new ArrayDeque<>());
+            pools.put(push.endpoint(), pool);
+        }
+        Exchange exchange = new Exchange(push, pool, clock.getAsLong(), connectUs);
         exchanges.put(new Key(push.op(), push.push()), exchange);
-        exchange.link = take(push.address());
+        exchange.link = take(pool.free());
         if (exchange.link != null) {
             send(exchange);
             return;
         }
-        if (open >= most && !closeOneIdle()) {
+        if (links.size() >= most && !closeOneIdle()) {
             end(exchange, Ending.Kind.NOT_SENT, null); // our limit is no mark against the endpoint
             return;
         }
-        open++;
         connecting.add(exchange);
-        exchange.link = connector.open(push.address(), up -> connected(exchange, up));
+        Link opening = connector.open(push.address(), up -> connected(exchange, up));
+        if (opening != null && opening.connection.isOpen()) {
+            links.add(opening);
+            exchange.link = opening;
+        }
+    }
+
+    private void close(Link link) {
+        links.remove(link); // one that never came up is not reported as closed
+        link.close();
     }
 
     /**
      * A connection that is free: the one used last, as it is the least likely to be dead, of those that rested a little,
      * since what comes late behind an answer would answer the next request; or else the one that rested longest.
      */
-    private Link take(String address) {
-        ArrayDeque<Link> free = idle.get(address);
+    private Link take(ArrayDeque<Link> free) {
         Link taken = null;
-        for (Link link : free == null ? List.<Link>of() : List.copyOf(free)) {
+        for (Link link : List.copyOf(free)) {
             if (!usable(link)) {
                 free.remove(link);
-                link.close();
+                close(link);
             } else if (taken == null || clock.getAsLong() - link.idleUs >= REST_US) {
                 taken = link;
             }
@@ -113,10 +133,10 @@
     }
 
     private boolean closeOneIdle() {
-        for (ArrayDeque<Link> free : idle.values()) {
-            Link link = free.pollFirst();
+        for (Pool pool : pools.values()) {
+            Link link = pool.free().pollFirst();
             if (link != null) {
-                link.close();
+                close(link);
                 return true;
             }
         }
@@ -134,8 +154,7 @@
                 end(exchange, Ending.Kind.NOT_SENT, null);
             }
         } else { // given up meanwhile
-            open++;
-            up.close();
+            close(up);
         }
     }
 
@@ -162,10 +181,10 @@
      * that no answer has come on since are not used again, or each would cost one more push.
      */
     private void dropOlder(Exchange silent) {
-        ArrayDeque<Link> free = idle.get(silent.push.address());
-        for (Link link; free != null && (link = free.peekFirst()) != null && link.idleUs <= silent.sentUs;) {
+        ArrayDeque<Link> free = silent.pool.free();
+        for (Link link; (link = free.peekFirst()) != null && link.idleUs <= silent.sentUs;) {
             free.pollFirst();
-            link.close();
+            close(link);
         }
     }
 
@@ -176,20 +195,19 @@
             return;
         }
         Ending ending = new Ending(kind, exchange.reach(), answer);
-        if (connecting.remove(exchange)) {
-            open--;
-        }
+        connecting.remove(exchange);
         Link link = exchange.link;
         if (link != null) {
             link.user = null;
             boolean unused = kind == Ending.Kind.NOT_SENT && link.connected;
             boolean whole = answer != null && answer.keepsAlive() && link.written() && link.in.size() == 0;
-            boolean reuse = (unused || whole) && !link.ended;
-            if (reuse) {
+            boolean known = pools.get(exchange.push.endpoint()) == exchange.pool; // it was not to be forgotten meanwhile
+            if (known && (unused || whole) && !link.ended) {
                 link.idleUs = clock.getAsLong();
-                idle.computeIfAbsent(exchange.push.address(), a -> new ArrayDeque<>()).addLast(link);
+                exchange.pool.free().addLast(link);
+                link.pooled = exchange.pool.free();
             } else {
-                link.close();
+                close(link);
             }
         }
         core.ended(clock.getAsLong(), key.op, key.push, ending);
@@ -200,7 +218,7 @@
         Link link = Link.of(ctx.getConnection());
         Exchange exchange = (Exchange) link.user;
         if (exchange == null || !(ctx.getMessage() instanceof Message)) {
-            link.close(); // an answer that nobody asked for, or one that can't be read
+            close(link); // an answer that nobody asked for, or one that can't be read
             return ctx.getStopAction();
         }
         Message answer = ctx.getMessage();
@@ -221,9 +239,11 @@
     @Override
     public NextAction handleClose(FilterChainContext ctx) {
         Link link = Link.of(ctx.getConnection());
-        open--;
+        links.remove(link);
         if (link.user != null) {
             end((Exchange) link.user, Ending.Kind.BROKEN, null);
+        } else if (link.pooled != null) {
+            link.pooled.remove(link); // the endpoint closed it while it was free
         }
         link.free();
         return ctx.getInvokeAction();
@@ -233,11 +253,11 @@
         return !exchanges.isEmpty();
     }
 
-    /** Closes what is idle to an address. */
-    void drop(String address) {
-        ArrayDeque<Link> free = idle.remove(address);
-        if (free != null) {
-            free.forEach(Link::close);
+    /** Closes what is free to an endpoint; what is in use goes when it ends, and nothing of it serves another. */
+    void forget(String endpoint) {
+        Pool pool = pools.remove(endpoint);
+        for (Link link; pool != null && (link = pool.free().pollFirst()) != null;) {
+            close(link);
         }
     }
 
@@ -252,13 +272,12 @@
         }
         if (nowUs - sweptUs > 1_000_000) {
             sweptUs = nowUs;
-            idle.values().forEach(free -> {
-                for (Link link; (link = free.peekFirst()) != null && !usable(link);) {
-                    free.pollFirst();
-                    link.close();
+            for (Pool pool : pools.values()) {
+                for (Link link; (link = pool.free().peekFirst()) != null && !usable(link);) {
+                    pool.free().pollFirst();
+                    close(link);
                 }
-            });
-            idle.values().removeIf(ArrayDeque::isEmpty);
+            }
         }
     }
 }
--- a/src/main/java/dillcross/net/Link.java
+++ b/src/main/java/dillcross/net/Link.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Collection;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -26,6 +27,7 @@
     final Ring in;
     final Ring out;
     final Reader reader;
+    Collection<Link> pooled; // where it waits while it is free
     Object user; // the exchange that it carries; null while idle
     boolean connected;
     boolean ended; // nothing more comes from the other side
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -100,10 +100,10 @@
         }
         for (int i = 0; i < 4 && !enough; i++) {
             Message request = Message.request("GET", Names.HEALTH_PATH, Map.of("host", self), Message.NOTHING);
-            endpoints.push(new Order.Push(-1 - rehearsed++, 0, self, request, now + MOST_REHEARSAL_US));
+            endpoints.push(new Order.Push(-1 - rehearsed++, 0, self, self, request, now + MOST_REHEARSAL_US));
         }
         if (enough) {
-            endpoints.drop(self);
+            endpoints.forget(self);
             listener.ready();
             ready.countDown();
             LOG.info(() -> "ready on " + self + " after " + (now - startedUs) / 1000 + " ms");
@@ -185,6 +185,8 @@
             listener.answer(nack.client(), answer);
         } else if (order instanceof Order.DeadLetter dead) {
             listener.answer(dead.client(), Message.answer(502, "failed"));
+        } else if (order instanceof Order.Forget forget) {
+            endpoints.forget(forget.endpoint());
         } else if (order instanceof Order.Watch watch) {
             discovery.watch(watch);
         }
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One sidecar without I/O and without a clock: turns what the network tells into calls of the module, and the module's
@@ -77,15 +79,20 @@
         version = older ? 0 : newVersion; // its numbering began anew: ask for the whole list
         List<Endpoint> endpoints = new ArrayList<>(entries.size());
         for (Listed entry : entries) {
-            if (entry.endpoint().health() == Endpoint.Health.GONE) {
-                listed.remove(entry.endpoint().id()); // or each deploy would leave its old endpoints here
-            } else {
-                listed.put(entry.endpoint().id(), entry);
+            Endpoint now = entry.endpoint();
+            boolean gone = now.health() == Endpoint.Health.GONE; // or each deploy would leave its old endpoints here
+            Listed before = gone ? listed.remove(now.id()) : listed.put(now.id(), entry);
+            if (before != null && (now.health() != Endpoint.Health.UP || !before.address().equals(entry.address())
+                    || before.endpoint().startedUs() != now.startedUs())) {
+                ready.add(new Order.Forget(now.id()));
             }
-            endpoints.add(entry.endpoint());
+            endpoints.add(now);
         }
         if (whole) {
-            listed.keySet().retainAll(endpoints.stream().map(Endpoint::id).toList());
+            Set<String> named = endpoints.stream().map(Endpoint::id).collect(Collectors.toSet());
+            listed.keySet().stream().filter(id -> !named.contains(id)).sorted()
+                    .forEach(id -> ready.add(new Order.Forget(id)));
+            listed.keySet().retainAll(named);
         }
         logic.list(nowUs, whole, endpoints);
         if (watched) {
@@ -239,7 +246,7 @@
                     timer(untilUs, What.PUSH_ENDS, decision.op(), number);
                 }
                 String address = listed.get(decision.endpoint()).address();
-                ready.add(new Order.Push(decision.op(), number, address, op.content, untilUs));
+                ready.add(new Order.Push(decision.op(), number, decision.endpoint(), address, op.content, untilUs));
             }
             case NACK -> {
                 ready.add(new Order.Nack(op.client, decision.us()));
--- a/src/main/java/dillcross/sidecar/Order.java
+++ b/src/main/java/dillcross/sidecar/Order.java
@@ -2,8 +2,8 @@
 
 /** One thing for the network to carry out. */
 public sealed interface Order {
-    /** Push the content of an op; {@code untilUs} is when it will be given up. */
-    record Push(long op, int push, String address, Object content, long untilUs) implements Order { }
+    /** Push the content of an op to an endpoint, who is at the address; {@code untilUs} is when it will be given up. */
+    record Push(long op, int push, String endpoint, String address, Object content, long untilUs) implements Order { }
 
     /** Stop waiting for a push, and report how far it came. */
     record GiveUp(long op, int push) implements Order { }
@@ -20,6 +20,9 @@
     /** Tell the client that it failed, with no promise. */
     record DeadLetter(Object client) implements Order { }
 
+    /** The endpoint left, moved or began anew: close what is open to it once it is free, and keep nothing of it. */
+    record Forget(String endpoint) implements Order { }
+
     /** Ask for what is newer in the list than that version. */
     record Watch(long version) implements Order { }
 }
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -411,6 +411,29 @@
         assertEquals(20, b.got.get("/read/after"));
     }
 
+    private long descriptors() throws IOException {
+        try (var open = Files.list(Path.of("/proc", process.pid() + "", "fd"))) {
+            return open.count();
+        }
+    }
+
+    /** Endpoints come and go, some at the address of one that has gone: each gets connections of its own, and they go with it. */
+    @Test
+    void aNewEndpointAtAnOldAddressInheritsNothing() throws Exception {
+        serving(entry("a0", "in_service", a.address()));
+        Socket socket = connect();
+        assertEquals("200", status(ask(socket, op("/read/ok", 2000))));
+        long before = descriptors();
+        for (int i = 1; i <= 20; i++) {
+            discovery.tell(entry("a" + i, "in_service", a.address()) + "," + entry("a" + (i - 1), "terminated", a.address()));
+            assertEquals("200", status(ask(socket, op("/read/ok", 2000))));
+            assertEquals(i + 1, a.accepted.get());
+        }
+        while (descriptors() > before + 1) {
+            Thread.sleep(20); // closed ones go at the next select
+        }
+    }
+
     /** A watch that falls silent is given up before long, and the list asked for anew. */
     @Test
     @Timeout(18)
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -65,7 +65,7 @@
 
     private static String answers(List<Order> orders) {
         return String.join(" ", orders.stream().filter(o -> !(o instanceof Order.Push || o instanceof Order.GiveUp
-                || o instanceof Order.Watch)).map(o -> o.getClass().getSimpleName()).toList());
+                || o instanceof Order.Watch || o instanceof Order.Forget)).map(o -> o.getClass().getSimpleName()).toList());
     }
 
     /** Each row of the protocol's outcomes: what never ran may be tried again by the client, what may have run not. */
@@ -130,6 +130,17 @@
         assertEquals("h:2", push("read").address());
     }
 
+    /** Nothing that is open to an endpoint outlives it: not to another at its address, not to its next process. */
+    @ParameterizedTest
+    @CsvSource({"a,UP,h:1,0,false,''", "a,UP,h:1,0,true,''", "a,UP,h:2,0,false,a", "a,DRAINING,h:1,0,false,a", "a,GONE,h:1,0,false,a", "a,UP,h:1,5,false,a",
+        "b,UP,h:1,0,false,''", "b,UP,h:1,0,true,a"})
+    void whatLeavesMovesOrBeginsAnewIsForgotten(String id, Health health, String address, long startedUs, boolean whole, String forgotten) {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        pull();
+        core.list(now, 2, whole, List.of(new Listed(new Endpoint(id, health, startedUs, 1, "east", "", 1), address)), false);
+        assertEquals(forgotten, String.join(" ", only(Order.Forget.class, pull()).stream().map(Order.Forget::endpoint).toList()));
+    }
+
     @Test
     void aWatchGoesOnAfterEachAnswer() {
         core.list(now, 7, true, List.of(listed("a", Health.UP, "h:1")), false);
