A push whose connection seems dead holds no part of the bound, and is no word on latency

Cause: 12 to 20 connections a second fall silent or stop short while their endpoint answers others, so overdue() found the endpoint heard and looked again until the TTL: about six pushes held the bound, each then lifted its endpoint's latency to 20 times (which put off the next overdue fourfold) and counted as a jam (slow). Lines: Logic.overdue, ended.

--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -51,6 +51,7 @@
         final long sentUs = now;
         Outcome end; // null while out
         boolean silent; // counted as a failure for it already, and no more in the bound
+        boolean lost; // nor one whose connection seems dead, which is no load on its endpoint either
 
         Push(Op op, Server to) {
             this.op = op;
@@ -338,8 +339,8 @@
         op.out--;
         Server s = push.to;
         load.at(loud());
-        silent -= push.silent ? 1 : 0;
-        s.flying--;
+        silent -= push.silent || push.lost ? 1 : 0;
+        s.flying -= push.lost ? 0 : 1;
         s.learnedUs = now;
         flying--;
         while (!s.inFlight.isEmpty() && s.inFlight.peekFirst().end != null) {
@@ -350,18 +351,16 @@
             acked(push, tookUs);
         } else if (outcome.failure) {
             // One time-out says as much as many slow answers; a sidecar with little traffic sees no more.
-            s.slowness = Math.max(s.slowness, Math.min(20, tookUs / op.kind.meanUs));
+            s.slowness = push.lost ? s.slowness : Math.max(s.slowness, Math.min(20, tookUs / op.kind.meanUs));
             failed(push);
-            if (outcome == Outcome.TIMED_OUT && !s.out) {
+            if (outcome == Outcome.TIMED_OUT && !s.out && !push.lost) {
                 slow(push, tookUs); // a jam acks nothing, and must close the bound all the same
             }
-        } else {
-            if (outcome == Outcome.FULL) {
-                // Others push here too, or it hangs behind a full queue: stay away, longer each time.
-                double times = (0.5 + random.nextDouble()) * (1 << Math.min(s.fulls++, 6));
-                s.holdUs = now + (long) (op.kind.meanUs * times);
-                s.slowness = Math.max(s.slowness, OVERDUE); // its queue is full: as slow as can be
-            }
+        } else if (outcome == Outcome.FULL) {
+            // Others push here too, or it hangs behind a full queue: stay away, longer each time.
+            double times = (0.5 + random.nextDouble()) * (1 << Math.min(s.fulls++, 6));
+            s.holdUs = now + (long) (op.kind.meanUs * times);
+            s.slowness = Math.max(s.slowness, OVERDUE); // its queue is full: as slow as can be
         }
         s.probation = s.probation == push ? null : s.probation; // another may try
         settle(op, over);
@@ -438,12 +437,11 @@
     /** Notes a failure once, and ejects at the design's threshold or when too large a share fails. */
     private void failed(Push push) {
         Server s = push.to;
-        boolean silence = push.end == null;
         s.run += push.silent ? 0 : 1;
         s.failing += push.silent ? 0 : 0.1 * (1 - s.failing);
         boolean bad = !s.out && !push.silent && (s.run >= RUN_TO_EJECT || s.failing > SHARE_TO_EJECT);
         if (bad || s.probation == push) {
-            eject(s, silence && (bad || s.bySilence));
+            eject(s, push.end == null && (bad || s.bySilence));
         }
     }
 
@@ -668,18 +666,15 @@
     }
 
     private boolean usable(Op op, Server s) {
-        if (now < s.holdUs || s.flying >= 1 + HELD * most() / (near.size() + far.size()) || !lawful(op, s)) {
-            return false;
-        }
-        return op.pushes.isEmpty() || op.pushes.stream().noneMatch(p -> p.to == s);
+        return now >= s.holdUs && s.flying < 1 + HELD * most() / (near.size() + far.size()) && lawful(op, s)
+                && op.pushes.stream().noneMatch(p -> p.to == s);
     }
 
     /** The design's smoothed latency x (own in flight + 1), with a price on leaving our zone. */
     private double cost(Server s) {
-        double slow = s.slowness;
-        if (slow > 1) { // an endpoint that lost every draw is tried again in time
-            slow = 1 + (slow - 1) * Math.max(0, 1 - (double) (now - s.learnedUs) / FORGET_US);
-        }
+        // An endpoint that lost every draw is tried again in time.
+        double fresh = s.slowness > 1 ? Math.max(0, 1 - (double) (now - s.learnedUs) / FORGET_US) : 1;
+        double slow = 1 + (s.slowness - 1) * fresh;
         Push oldest = s.inFlight.peekFirst();
         if (oldest != null) { // silence: an old push says more than answers from before it
             slow = Math.max(slow, (now - oldest.sentUs) / oldest.op.kind.meanUs);
@@ -768,14 +763,19 @@
             return;
         }
         long after = overdueAfter(push);
-        boolean unheard = push.to.lastAnswerUs <= Math.max(push.sentUs, now - after);
         boolean late = now - push.sentUs >= after;
-        if (late && unheard) {
+        if (late && push.to.lastAnswerUs <= Math.max(push.sentUs, now - after)) {
             failed(push);
-            push.silent = true; // and must not use up the bound of a sidecar with little traffic
-            silent++;
+            silent += push.lost ? 0 : 1; // it must not use up the bound of a sidecar with little traffic
+            push.silent = true;
         } else { // it answers others: look again, it may fall silent yet
             tasks.add(new Task(now + after / 2, order++, push, null));
+            if (late && !push.lost) { // dead connections alone would hold all of the bound till their TTLs
+                push.lost = room = true;
+                silent++;
+                push.to.flying--;
+                push.to.inFlight.remove(push);
+            }
         }
         if (late && !op.over && op.out == 1 && spare >= 1 && bound() && push(op, pick(op), false)) {
             spare--;
--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -446,6 +446,21 @@
         assertEquals(20, s.traffic(20, "c"));
     }
 
+    /** Connections that die one by one, while their endpoints answer the rest, must not hold the bound until their TTLs. */
+    @Test
+    void deadConnectionsDoNotHoldTheBound() {
+        Sidecar s = Sidecar.oneOf(1, 0, IntStream.range(0, 10).mapToObj(i -> "e" + i + ":UP:1:east").toArray(String[]::new));
+        Set<Long> dead = new HashSet<>();
+        for (int i = 0; i < 1500; i++) {
+            boolean dies = i > 500 && i % 20 == 0;
+            long op = s.arrive(dies ? "once" : "read"); // no copy of these may go
+            dead.addAll(dies ? List.of(op) : List.of());
+            s.pass(5);
+            s.endAll(p -> p.atMs() <= s.nowMs - 20 && !dead.contains(p.op()), Outcome.ACKED);
+        }
+        assertEquals(0, s.answers.values().stream().filter(a -> a.kind() == Decision.Kind.NACK).count());
+    }
+
     /** An answer after a pause ends an ejection that nothing but silence caused. */
     @Test
     void aPauseCostsLittle() {
