--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -6,7 +6,8 @@
 /**
  * Every decision of one sidecar. How to call it: tell it what happened (list, listFailed, arrive, ended,
  * streaming, left, woken), each with the clock in whole microseconds; these only note what is known. Then
- * pull {@link #next()} until it is null and carry out each {@link Decision}. Types: {@code dillcross.model}.
+ * pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is these methods
+ * and the types of {@code dillcross.model}.
  *
  * <p>The design decides the ordinary path: five failures in a row eject an endpoint, a jittered penalty ends
  * in one real op on probation, a failed probation doubles the penalty, and among the rest two random choices
@@ -346,12 +347,9 @@
             s.inFlight.pollFirst();
         }
         room = true;
-        // Its own TTL was short, and its endpoint answered others since: that is no word on the endpoint.
-        boolean brief = outcome == Outcome.TIMED_OUT && s.lastAnswerUs > push.sentUs
-                && tookUs < overdueAfter(push) / 2;
         if (outcome == Outcome.ACKED) {
             acked(push, tookUs);
-        } else if (outcome.failure && !brief) {
+        } else if (outcome.failure) {
             // One time-out says as much as many slow answers; a sidecar with little traffic sees no more.
             s.slowness = push.lost ? s.slowness : Math.max(s.slowness, Math.min(20, tookUs / op.kind.meanUs));
             failed(push);
