--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -82,9 +82,8 @@
     }
 
     /**
-     * Makes room among those with no open request: who has said nothing, or half a request, and had the time to; who brought
-     * none of late; or else who brought none for the longest. Clients that use many connections in turn come back to each:
-     * to close theirs while silent ones stay would turn away one request after another.
+     * Makes room among those with no open request: who has said nothing, or half a request, and had the time to, and who brought
+     * none of late; or else who asked once at most and brought none for the longest. Who asked again and again comes last.
      */
     private boolean closeOne(Link but) {
         Link last = null;
@@ -95,7 +94,7 @@
                     last = link;
                     break;
                 }
-                last = last == null ? link : last;
+                last = last == null || last.asked > 1 && link.asked < 2 ? link : last;
             }
         }
         if (last != null) {
@@ -104,6 +103,11 @@
         return last != null;
     }
 
+    /** A good part of the limit is used up: clients may have a limit of their own, and come to its end before we do. */
+    private boolean crowded() {
+        return links.size() > most * 3 / 8;
+    }
+
     private void pause(boolean now) {
         if (paused != now && server != null && server.isOpen()) {
             paused = now;
@@ -237,7 +241,8 @@
 
     private void answer(Link link, Message request, Message answer) {
         rests(link);
-        link.closing = draining || !request.keepsAlive();
+        // Who asks once and stays would hold its place for good; told so with the answer, no next request crosses the close.
+        link.closing = draining || !request.keepsAlive() || crowded() && link.asked < 2;
         write(link, answer);
         pause(false); // it may make room now
         if (!link.closing && link.in.size() > 0) {
@@ -301,7 +306,7 @@
             link.partialUs = waits ? 0 : link.partialUs > 0 ? link.partialUs : link.asked == 0 ? link.idleUs : nowUs;
             boolean late = !waits && nowUs - link.partialUs > BRING_US;
             if (link.closing ? nowUs - link.idleUs > LINGER_US : late && !link.partial()
-                    || idle(link) && nowUs - link.idleUs > IDLE_US) {
+                    || idle(link) && nowUs - link.idleUs > (crowded() ? RECENT_US : IDLE_US)) {
                 link.close();
             } else if (late && !link.closing) {
                 reject(link, Message.answer(408, "the request did not come whole in time"));
