Read once more: fewer socket looks a push, one way to drop a watch, the 405 in one place

Discovery.move and fail shared five lines, now drop(). Listener worked the wanted method out three times and told a 405 from a 400 by it again. ServeIT wrote 'send, then wait until the endpoint has it' four times.

--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -69,8 +69,13 @@
 
     /** From now on the list is at another address; what is open to the old one is closed, the call on it dropped. */
     void move(String to) {
-        Link old = link;
         address = to;
+        drop();
+    }
+
+    /** Ends the call that is out, if one is, and its connection. */
+    private void drop() {
+        Link old = link;
         asked = null;
         link = null;
         if (old != null) {
@@ -86,12 +91,7 @@
 
     private void fail() {
         if (asked != null) {
-            asked = null;
-            Link old = link;
-            link = null;
-            if (old != null) {
-                old.close();
-            }
+            drop();
             if (!failing) {
                 failing = true;
                 LOG.warning("the list can't be had; the last one holds");
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -7,8 +7,8 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -106,12 +106,15 @@
      */
     private Link take(ArrayDeque<Link> free) {
         Link taken = null;
-        for (Link link : List.copyOf(free)) {
-            if (!usable(link)) {
-                free.remove(link);
-                close(link);
-            } else if (taken == null || clock.getAsLong() - link.idleUs >= REST_US) {
+        boolean rested = false;
+        for (Iterator<Link> newest = free.descendingIterator(); newest.hasNext() && !rested;) {
+            Link link = newest.next();
+            if (usable(link)) {
                 taken = link;
+                rested = clock.getAsLong() - link.idleUs >= REST_US;
+            } else {
+                newest.remove();
+                close(link);
             }
         }
         if (taken != null) {
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -168,14 +168,18 @@
         }
         int second = path.indexOf('/', 1);
         Category category = categories.get(second < 0 ? path.substring(1) : path.substring(1, second));
-        String fault = category == null ? "unknown category" : fault(request, category);
-        if (fault != null) {
-            boolean method = category != null && !request.first().equals(method(category));
-            Message answer = Message.answer(category == null ? 404 : method ? 405 : 400, fault);
-            if (method) {
-                answer.fields().put("allow", method(category));
-            }
+        if (category == null) {
+            reject(link, Message.answer(404, "unknown category"));
+            return;
+        }
+        String method = category.effect() == Effect.REDELIVERABLE ? "GET" : "POST";
+        String fault = fault(request, category);
+        if (!request.first().equals(method)) {
+            Message answer = Message.answer(405, "only " + method + " is served here");
+            answer.fields().put("allow", method);
             reject(link, answer);
+        } else if (fault != null) {
+            reject(link, Message.answer(400, fault));
         } else {
             String id = request.field(Names.ID);
             long ttlUs = Math.min(mostTtlUs, Long.parseLong(request.field(Names.TIMEOUT)) * 1000);
@@ -187,15 +191,13 @@
     }
 
     /**
-     * What is wrong with it, or null. An endpoint would turn it away, or choke on it to the cost of whatever else waits on
+     * What is wrong with it beside its method, or null. An endpoint would turn it away, or choke on it to the cost of whatever else waits on
      * that connection; so it goes no further.
      */
     private String fault(Message request, Category category) {
         String timeout = request.field(Names.TIMEOUT);
         boolean keyed = category.effect() == Effect.DEDUPLICATED;
-        if (!request.first().equals(method(category))) {
-            return "only " + method(category) + " is served here";
-        } else if (request.first().equals("GET") && request.body().length > 0) {
+        if (request.first().equals("GET") && request.body().length > 0) {
             return "GET takes no body";
         } else if (timeout == null || !timeout.matches("[0-9]{1,9}") || Long.parseLong(timeout) == 0) {
             return Names.TIMEOUT + " has to be a whole number of milliseconds above 0";
@@ -209,10 +211,6 @@
         return null;
     }
 
-    private static String method(Category category) {
-        return category.effect() == Effect.REDELIVERABLE ? "GET" : "POST";
-    }
-
     private static boolean plain(String text) {
         return text != null && text.matches("[!-~]{1,128}");
     }
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -268,6 +268,14 @@
         return message(socket.getInputStream());
     }
 
+    /** Sends a request and goes on once endpoint a has got it. */
+    private void begin(Socket socket, String request, String path) throws Exception {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        while (!a.got.containsKey(path)) {
+            Thread.sleep(5);
+        }
+    }
+
     private static String status(String answer) {
         return answer.isEmpty() ? "closed" : answer.split(" ")[1];
     }
@@ -349,10 +357,7 @@
     void aClientThatLeavesTakesItsPushWithIt() throws Exception {
         serving(entry("a", "in_service", a.address()));
         Socket socket = connect();
-        socket.getOutputStream().write(op("/buy/hang", 2000).getBytes(StandardCharsets.ISO_8859_1));
-        while (!a.got.containsKey("/buy/hang")) {
-            Thread.sleep(5);
-        }
+        begin(socket, op("/buy/hang", 2000), "/buy/hang");
         socket.close();
         assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
     }
@@ -501,10 +506,7 @@
         serving(entry("a", "in_service", a.address()));
         Socket first = connect();
         String request = op("/read/slow", 2000);
-        first.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-        while (!a.got.containsKey("/read/slow")) {
-            Thread.sleep(5);
-        }
+        begin(first, request, "/read/slow");
         assertEquals("400", status(ask(connect(), request)));
         assertEquals("200", status(message(first.getInputStream())));
         assertEquals("200", status(ask(first, request)), "answered, it is free again");
@@ -633,10 +635,7 @@
         serving(entry("a", "in_service", a.address()));
         Socket socket = connect();
         assertEquals("200", status(ask(socket, op("/read/before", 2000))));
-        socket.getOutputStream().write(op("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
-        while (!a.got.containsKey("/buy/slow")) {
-            Thread.sleep(5);
-        }
+        begin(socket, op("/buy/slow", 2000), "/buy/slow");
         for (String fault : new String[] {"{\"discovery\":\"x\"}", "\"seed\":\"1f\"", "soon"}) {
             String was = Files.readString(folder.resolve("config.json"));
             hangUp(was, fault);
@@ -673,10 +672,7 @@
         Socket idle = connect();
         assertEquals("200", status(ask(idle, op("/read/ok", 2000))));
         Socket busy = connect();
-        busy.getOutputStream().write(op("/buy/slow", 2000).getBytes(StandardCharsets.ISO_8859_1));
-        while (!a.got.containsKey("/buy/slow")) {
-            Thread.sleep(5);
-        }
+        begin(busy, op("/buy/slow", 2000), "/buy/slow");
         process.destroy(); // SIGTERM
         assertEquals(-1, idle.getInputStream().read(), "what carries nothing is closed");
         String late = ask(connect(), op("/read/ok", 2000));
