--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -68,6 +68,8 @@
     private final class Op {
         final long id;
         final Kind kind;
+        final Category is; // as it came in: new settings may say otherwise of its kind, and the stricter holds
+        final PushRule rule = Logic.this.rule; // likewise
         final long bornUs = now;
         final long endUs;
         final long number = order++;
@@ -81,9 +83,14 @@
         Op(long id, Kind kind, long ttlUs) {
             this.id = id;
             this.kind = kind;
+            is = kind.is;
             endUs = now + ttlUs;
         }
 
+        boolean redeliverable() {
+            return is.effect() == Effect.REDELIVERABLE && kind.is.effect() == Effect.REDELIVERABLE;
+        }
+
         /** It may have run, or may still. */
         boolean risky() {
             return pushes.stream().anyMatch(Push::risky);
@@ -92,7 +99,7 @@
 
     /** A category and what has been seen of it. */
     private static final class Kind {
-        final Category is;
+        Category is;
         final Tally tally = new Tally(1);
         double meanUs; // smoothed latency of its answers
         double calmUs; // the least that the mean was, slowly rising: what it takes without a queue
@@ -138,6 +145,23 @@
 
         final long place; // on the ring, the same at all sidecars
 
+        double nominal; // the largest weight seen: with nothing held
+        double held; // a core, smoothed
+
+        void weigh(double weight, boolean live) {
+            if (!live) {
+                nominal = weight;
+                held = 0;
+                return;
+            }
+            nominal = Math.max(nominal, weight);
+            held += 0.2 * (nominal / weight - 1 - held);
+        }
+
+        double size() {
+            return nominal / (1 + held);
+        }
+
         Server(Endpoint is) {
             this.is = is;
             place = is.id().chars().asLongStream().reduce(17, (h, c) -> (h ^ c) * 0x9E3779B97F4A7C15L);
@@ -146,7 +170,7 @@
 
     /** What came of late from a tenant or of a category, and what of that got a push; both fade. */
     private static final class Tally {
-        final double part; // of all that comes, that is within its share
+        double part; // of all that comes, that is within its share
         double came;
         double got;
 
@@ -182,17 +206,19 @@
 
     // ---- For the instance
     private final Random random;
-    private final String zone;
-    private final int sidecars;
-    private final ColdRule cold;
-    private final PushRule rule;
-    private final boolean byWork; // benefit is counted for each unit of work, not for each op
-    private final long askWithinUs;
-    private final long mostRetryAfterUs;
-    private final double crossing;
-    private final long slotUs; // the mean target latency
+    private String zone;
+    private int sidecars;
+    private ColdRule cold;
+    private PushRule rule;
+    private boolean byWork; // benefit is counted for each unit of work, not for each op
+    private boolean mustAsk;
+    private long askWithinUs;
+    private long mostRetryAfterUs;
+    private double crossing;
+    private boolean live; // the list's weights move with load
+    private long slotUs; // the mean target latency
     private final Map<String, Kind> kinds = new HashMap<>();
-    private final Map<String, Tally> tenants = new HashMap<>();
+    private Map<String, Tally> tenants = new HashMap<>();
     private double came; // all arrivals, fading
     private double due; // of them within the shares of their tenants
     private long fadedUs;
@@ -201,7 +227,7 @@
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
     private final List<Server> near = new ArrayList<>(); // those of them in our own zone that we use
     private final List<Server> far = new ArrayList<>(); // and those of the next
-    private final double spot; // where on the ring we begin, of 1: even over the sidecars
+    private double spot; // where on the ring we begin, of 1: even over the sidecars
     private double want = LEAST_USED; // endpoints of a location that we use
     private final List<Server> ejected = new ArrayList<>();
     private final Map<Long, Op> ops = new HashMap<>();
@@ -215,7 +241,7 @@
     private long now;
     private long order;
     private long wakeUs = Long.MAX_VALUE;
-    private long listenUs;
+    private long listenUs = Long.MAX_VALUE;
     private int listFailures;
     private boolean listChanged;
     private boolean room;
@@ -232,8 +258,19 @@
 
     public Logic(long seed, String zone, int me, int sidecars, List<Category> categories,
             List<Tenant> tenants, ColdRule cold, PushRule rule, boolean byWork, boolean mustAsk,
-            long askWithinUs, long mostRetryAfterUs, double crossingPrice) {
+            long askWithinUs, long mostRetryAfterUs, double crossingPrice, boolean live) {
         random = new Random(seed);
+        settings(0, zone, me, sidecars, categories, tenants, cold, rule, byWork, mustAsk, askWithinUs,
+                mostRetryAfterUs, crossingPrice, live);
+    }
+
+    // ======== Inputs: these only note what is known
+
+    /** New settings, whole. Endpoints, ops and what was learned, by the names of categories and tenants, stay. */
+    public void settings(long nowUs, String zone, int me, int sidecars, List<Category> categories,
+            List<Tenant> tenants, ColdRule cold, PushRule rule, boolean byWork, boolean mustAsk,
+            long askWithinUs, long mostRetryAfterUs, double crossingPrice, boolean live) {
+        now = nowUs;
         this.zone = zone;
         spot = Math.abs(me * (Math.sqrt(5) - 1) / 2) % 1; // multiples of the golden ratio lie evenly
         this.sidecars = Math.max(1, sidecars);
@@ -243,28 +280,47 @@
         this.askWithinUs = askWithinUs;
         this.mostRetryAfterUs = mostRetryAfterUs;
         crossing = 1 + CROSSING * crossingPrice;
-        spanUs = slotUs = (long) categories.stream().mapToLong(Category::targetUs).average().orElse(1e6);
-        categories.forEach(c -> kinds.put(c.name(), new Kind(c)));
+        this.live = live;
+        slotUs = (long) categories.stream().mapToLong(Category::targetUs).average().orElse(1e6);
+        spanUs = Math.max(spanUs, slotUs);
+        categories.forEach(c -> kinds.computeIfAbsent(c.name(), n -> new Kind(c)).is = c);
         double quotas = tenants.stream().mapToDouble(Tenant::quotaPerS).sum();
-        tenants.stream().filter(t -> t.quotaPerS() > 0)
-                .forEach(t -> this.tenants.put(t.name(), new Tally(t.quotaPerS() / quotas)));
-        double herd = Math.min(askWithinUs / 3.0, 10_000.0 * this.sidecars); // all may start at once
-        listenUs = mustAsk ? -1 - (long) (herd * random.nextDouble()) : Long.MAX_VALUE;
+        Map<String, Tally> before = this.tenants;
+        this.tenants = new HashMap<>();
+        tenants.stream().filter(t -> t.quotaPerS() > 0).forEach(t -> {
+            Tally tally = before.getOrDefault(t.name(), new Tally(0));
+            tally.part = t.quotaPerS() / quotas;
+            this.tenants.put(t.name(), tally);
+        });
+        if (mustAsk && !this.mustAsk) {
+            double herd = Math.min(askWithinUs / 3.0, 10_000.0 * this.sidecars); // all may start at once
+            long wait = (long) (herd * random.nextDouble());
+            listenUs = servers.isEmpty() ? -1 - wait : now + wait;
+        }
+        listenUs = mustAsk ? listenUs : Long.MAX_VALUE;
+        this.mustAsk = mustAsk;
+        listChanged = true;
     }
 
-    // ======== Inputs: these only note what is known
-
     /** News of the list: the whole of it, where what it does not name is gone, or changes alone. */
     public void list(long nowUs, boolean whole, List<Endpoint> entries) {
         now = nowUs;
         listFailures = 0;
         listenUs = listenUs < 0 ? now - listenUs : listenUs; // after a start, from the first list on
-        listChanged = true;
+        listChanged |= whole;
         if (whole) {
             servers.values().forEach(s -> s.listed = false);
         }
         for (Endpoint e : entries) {
             Server s = servers.computeIfAbsent(e.id(), id -> new Server(e));
+            s.weigh(e.weight(), live);
+            boolean up = e.health() == Endpoint.Health.UP;
+            // Weights that move with load come for all endpoints many times a second: they are no change of the list.
+            if (s.is != e && up == s.listed && e.startedUs() == s.is.startedUs()
+                    && (live || e.weight() == s.is.weight())) {
+                continue;
+            }
+            listChanged = true;
             if (e.startedUs() > s.is.startedUs() || s.is == e) { // a new process: nothing old holds
                 s.pace = paces.computeIfAbsent(e.machine(), m -> new double[] {1});
                 s.slowness = s.pace[0];
@@ -272,7 +328,7 @@
                 chill(s, e.startedUs());
             }
             s.is = e;
-            s.listed = e.health() == Endpoint.Health.UP;
+            s.listed = up;
         }
     }
 
@@ -551,7 +607,7 @@
         for (int i = 0, from = (int) (spot * ring.size()); i < ring.size() && far.size() < want; i++) {
             use(zones.remove(ring.get((from + i) % ring.size()).is.zone()), far);
         }
-        largest = ring.stream().mapToDouble(s -> s.is.size() / s.pace[0]).max().orElse(1);
+        largest = ring.stream().mapToDouble(s -> s.size() / s.pace[0]).max().orElse(1);
         room = true;
     }
 
@@ -624,24 +680,27 @@
     /** Probation takes an op that can go elsewhere should it fail, one at a time for an endpoint. */
     private boolean onProbation(Op op) {
         return ejected.stream().anyMatch(s -> s.out && s.probation == null
-                && now >= Math.max(s.untilUs, s.holdUs) && (op.kind.is.effect() == Effect.REDELIVERABLE
+                && now >= Math.max(s.untilUs, s.holdUs) && (op.redeliverable()
                 || now > s.untilUs + s.penaltyUs) && push(op, s, true));
     }
 
     /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
     private void giveUp(Op op) {
         Category c = op.kind.is;
-        boolean mayNack = c.effect() == Effect.REDELIVERABLE || !op.risky()
-                || c.effect() == Effect.DEDUPLICATED && c.group() == Group.ALL;
+        boolean mayNack = !op.risky() || harmless(op.is) && harmless(c);
         long wait = Math.min(mostRetryAfterUs, (long) (c.targetUs() * (0.25 + 0.25 * random.nextDouble())));
         ready.add(mayNack ? Decision.nack(op.id, wait) : Decision.deadLetter(op.id));
         settle(op, true);
     }
 
+    private static boolean harmless(Category c) {
+        return c.effect() == Effect.REDELIVERABLE || c.effect() == Effect.DEDUPLICATED && c.group() == Group.ALL;
+    }
+
     // ---- The pick
 
     private Server pick(Op op) {
-        if (op.risky() && op.kind.is.effect() != Effect.REDELIVERABLE) {
+        if (op.risky() && !op.redeliverable()) {
             return least(op); // few endpoints may take it: draws would miss them
         }
         Server best = better(better(draw(op, near), draw(op, near)), better(draw(op, far), draw(op, far)));
@@ -651,7 +710,7 @@
     private Server draw(Op op, List<Server> from) {
         Server s = null;
         for (int i = 0; i < 5 && !from.isEmpty(); i++) { // more often the larger: what we see tells it late
-            boolean other = s == null || random.nextDouble() * largest > s.is.size() / s.pace[0];
+            boolean other = s == null || random.nextDouble() * largest > s.size() / s.pace[0];
             s = other ? from.get(random.nextInt(from.size())) : s;
         }
         return s != null && usable(op, s) ? s : null;
@@ -710,8 +769,7 @@
         long overdueUs = overdueAfter(push);
         tasks.add(new Task(now + overdueUs / 2, order++, push, null));
         // Where no copy may go beside it, a silent endpoint would hold the op until its TTL.
-        boolean limit = !rule.copies() && op.pushes.size() < rule.most()
-                && op.kind.is.effect() == Effect.REDELIVERABLE;
+        boolean limit = !copies(op) && op.pushes.size() < rule.most() && op.redeliverable();
         ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueUs : 0));
         return true;
     }
@@ -722,16 +780,21 @@
 
     private boolean lawful(Op op, Server s) {
         // One final answer, within the TTL and the push limit.
-        if (op.over || op.begun || now >= op.endUs || op.pushes.size() >= rule.most()) {
+        if (op.over || op.begun || now >= op.endUs
+                || op.pushes.size() >= Math.min(rule.most(), op.rule.most())) {
             return false;
         }
         // Drains: nothing goes to an endpoint that we have been told is draining or gone.
-        return s.listed && (op.out == 0 || rule.copies()) && repeatable(op, s) && coldRoom(s);
+        return s.listed && (op.out == 0 || copies(op)) && repeatable(op, op.is, s)
+                && repeatable(op, op.kind.is, s) && coldRoom(s);
+    }
+
+    private boolean copies(Op op) {
+        return rule.copies() && op.rule.copies();
     }
 
     /** No effect twice. */
-    private boolean repeatable(Op op, Server s) {
-        Category c = op.kind.is;
+    private boolean repeatable(Op op, Category c, Server s) {
         return c.effect() == Effect.REDELIVERABLE || op.pushes.stream().filter(Push::risky)
                 .allMatch(p -> c.effect() == Effect.DEDUPLICATED && now - p.sentUs <= c.windowUs() * 0.9
                 && (c.group() == Group.ALL || (c.group() == Group.ZONE ? p.to.is.zone().equals(s.is.zone())
--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -24,6 +24,8 @@
 final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
 
+    private static final boolean ASKS = true; // on sockets the list tells nothing unasked, whatever the settings say
+
     private final String file; // null where the environment names it
     private Given given;
 
@@ -39,7 +41,8 @@
         address(read, "discovery");
         known(read);
         Given settings = read.below("settings");
-        settings.instance(read.seed());
+        settings.instance(read.seed(), ASKS);
+        settings.subscribes();
         settings.mostTtlUs();
         settings.connectUs();
         settings.keepUs();
@@ -66,7 +69,7 @@
         onHangUp(reloads::release); // before all else: unhandled, it would end the program
         Given settings = given.below("settings");
         LongSupplier clock = clock();
-        Core core = new Core(settings.instance(given.seed()));
+        Core core = new Core(settings.instance(given.seed(), ASKS));
         Roster known = known(given);
         if (known != null) {
             core.list(clock.getAsLong(), known.version(), true, known.entries(), false);
@@ -80,7 +83,7 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
-        Rehearsal.run(settings.instance(0), settings.categories());
+        Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         node.start(address(given, "listen"));
         node.awaitReady();
         while (!check) { // the end comes by a signal
@@ -92,7 +95,7 @@
     }
 
     /** Reads the file again. Endpoints, open ops and what was learned stay; a file with a fault changes nothing. */
-    private void reload(Node node) {
+    private void reload(Node node) throws InterruptedException {
         try {
             Given next = read(file);
             String from = given.needed("discovery");
@@ -100,9 +103,16 @@
             if (!to.equals(from)) {
                 node.moveDiscovery(to);
             }
-            String later = List.of("name", "listen", "limits", "settings").stream()
+            boolean changed = !next.same(given, "settings");
+            if (changed) {
+                Given settings = next.below("settings");
+                node.settings((logic, nowUs) -> settings.tell(logic, nowUs, ASKS), settings.categories(),
+                        settings.mostTtlUs(), settings.connectUs(), settings.keepUs(), settings.watchMs());
+            }
+            String later = List.of("name", "listen", "limits").stream()
                     .filter(key -> !next.same(given, key)).collect(Collectors.joining(", "));
-            LOG.info("configuration read again; discovery " + (to.equals(from) ? "stays at " : "is now at ") + to
+            LOG.info("configuration read again; settings " + (changed ? "are new" : "stay") + "; discovery "
+                    + (to.equals(from) ? "stays at " : "is now at ") + to
                     + (later.isEmpty() ? "" : "; changed, and taken up at the next start only: " + later));
             given = next;
         } catch (FaultyKey faulty) {
--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -108,35 +108,93 @@
                 && below(path).values.equals(other.below(path).values);
     }
 
-    public Logic instance(long seed) {
+    /** A module with these settings; {@code asks} where the list tells nothing unasked. */
+    public Logic instance(long seed, boolean asks) {
+        return new Logic(seed, zone(), me(), sidecars(), categories(), tenants(), cold(), pushes(), byWork(), asks,
+                askWithinUs(), mostRetryAfterUs(), crossingPrice(), liveWeights());
+    }
+
+    /** Has a module that runs take these settings on; {@code asks} as above. */
+    public void tell(Logic logic, long nowUs, boolean asks) {
+        logic.settings(nowUs, zone(), me(), sidecars(), categories(), tenants(), cold(), pushes(), byWork(), asks,
+                askWithinUs(), mostRetryAfterUs(), crossingPrice(), liveWeights());
+    }
+
+    /** Whether the list has to be asked for news, as far as the settings say. */
+    public boolean subscribes() {
+        return word("discovery", "subscribe", "automatic").equals("subscribe");
+    }
+
+    private String zone() {
+        return text("locality", "");
+    }
+
+    private int me() {
+        return whole("me", 0, 0);
+    }
+
+    private int sidecars() {
+        return whole("balancers", 1, 1);
+    }
+
+    private List<Tenant> tenants() {
         List<Tenant> tenants = new ArrayList<>();
-        for (int i = 0; i < number("tenants.count", 0); i++) {
+        for (int i = 0; i < count("tenants"); i++) {
             String at = "tenants." + i + ".";
-            tenants.add(new Tenant(text(at + "name", "unnamed"), number(at + "quota_per_s", 0)));
+            tenants.add(new Tenant(needed(at + "name"), number(at + "quota_per_s", 0)));
         }
-        var cold = new ColdRule(number("rules.start_capacity", 0.1), micros("rules.warm_up_ms", 30_000),
-                number("rules.fall_multiple", 2), Math.max(1, micros("rules.fall_ms", 1000)));
-        var pushes = new PushRule((int) number("limits.max_pushes", 1), flag("limits.may_duplicate"),
-                flag("limits.cancel"));
-        return new Logic(seed, text("locality", ""), (int) number("me", 0),
-                (int) number("balancers", 1), categories(), tenants, cold, pushes,
-                text("benefit_basis", "request").equals("work"),
-                text("discovery", "subscribe").equals("subscribe"), micros("rules.ask_within_ms", 5000),
-                flag("limits.retry_after") ? micros("limits.max_retry_after_ms", 0) : 0,
-                number("prices.cross_zone", 0));
+        return tenants;
+    }
+
+    private ColdRule cold() {
+        section("rules");
+        double share = number("rules.start_capacity", 0.1);
+        if (share > 1) {
+            throw fault("rules.start_capacity", "out of range: " + share);
+        }
+        return new ColdRule(share, micros("rules.warm_up_ms", 30_000), number("rules.fall_multiple", 2),
+                Math.max(1, micros("rules.fall_ms", 1000)));
+    }
+
+    private PushRule pushes() {
+        section("limits");
+        return new PushRule(whole("limits.max_pushes", 1, 1), flag("limits.may_duplicate"), flag("limits.cancel"));
+    }
+
+    private boolean byWork() {
+        return word("benefit_basis", "request", "work").equals("work");
+    }
+
+    private long askWithinUs() {
+        return micros("rules.ask_within_ms", 5000);
+    }
+
+    private long mostRetryAfterUs() {
+        long most = micros("limits.max_retry_after_ms", 0);
+        return flag("limits.retry_after") ? most : 0;
+    }
+
+    private double crossingPrice() {
+        section("prices");
+        return number("prices.cross_zone", 0);
+    }
+
+    /** Whether the weights of the list move with load; where nothing is said they are sizes, as ever. */
+    private boolean liveWeights() {
+        return word("weight_source", "rough", "nominal", "silent", "live").equals("live");
     }
 
     public List<Category> categories() {
         List<Category> categories = new ArrayList<>();
         Set<String> names = new HashSet<>();
-        for (int i = 0; i < number("categories.count", 0); i++) {
+        for (int i = 0; i < count("categories"); i++) {
             String at = "categories." + i + ".";
             if (!names.add(needed(at + "name"))) {
                 throw fault(at + "name", "stands twice: " + needed(at + "name"));
             }
-            categories.add(new Category(needed(at + "name"), effect(text(at + "effect", "")),
-                    group(text(at + "key_scope", "")), micros(at + "window_ms", 0),
-                    Math.max(1, micros(at + "target_latency_ms", 1000)), number(at + "benefit", 1)));
+            categories.add(new Category(needed(at + "name"), effect(at + "effect"), group(at + "key_scope"),
+                    micros(at + "window_ms", 0), Math.max(1, micros(at + "target_latency_ms", 1000)),
+                    number(at + "benefit", 1)));
         }
         if (categories.isEmpty()) {
             throw fault("categories", "is missing or empty");
@@ -147,7 +205,7 @@
     /** The longest that a client of any category waits. */
     public long mostTtlUs() {
         long most = 0;
-        for (int i = 0; i < number("categories.count", 0); i++) {
+        for (int i = 0; i < count("categories"); i++) {
             most = Math.max(most, micros("categories." + i + ".ttl_ms", 3000));
         }
         return most == 0 ? 3_000_000 : most;
@@ -193,16 +251,16 @@
     }
 
     /** What is not known to be harmless is taken to be harmful. */
-    private static Effect effect(String name) {
-        return switch (name) {
+    private Effect effect(String path) {
+        return switch (word(path, "at_most_once", "deduplicated", "idempotent")) {
             case "idempotent" -> Effect.REDELIVERABLE;
             case "deduplicated" -> Effect.DEDUPLICATED;
             default -> Effect.AT_MOST_ONCE;
         };
     }
 
-    private static Group group(String name) {
-        return switch (name) {
+    private Group group(String path) {
+        return switch (word(path, "cell", "zone", "all")) {
             case "all" -> Group.ALL;
             case "zone" -> Group.ZONE;
             default -> Group.CELL;
@@ -213,8 +271,42 @@
         return new FaultyKey(prefix + path, what);
     }
 
+    /** One of the words that are known, the first where it is absent: a wrong one must not pass for a default. */
+    private String word(String path, String... known) {
+        String word = text(path, known[0]);
+        if (!List.of(known).contains(word)) {
+            throw fault(path, "unknown word: " + word + "; known are " + String.join(", ", known));
+        }
+        return word;
+    }
+
+    /** The length of a list. */
+    private int count(String path) {
+        section(path);
+        return whole(path + ".count", 0, 0);
+    }
+
+    /** Faults what holds a plain value where a list or an object belongs. */
+    private void section(String path) {
+        String value = values.get(path);
+        if (value != null && !value.isEmpty() && !value.equals("-")) {
+            throw fault(path, "is a plain value: " + value);
+        }
+    }
+
+    private int whole(String path, int ifAbsent, int least) {
+        double number = number(path, ifAbsent);
+        if (number != Math.rint(number) || number < least || number > Integer.MAX_VALUE) {
+            throw fault(path, "out of range: " + text(path, ""));
+        }
+        return (int) number;
+    }
+
     private String text(String path, String ifAbsent) {
         String value = values.get(path);
+        if (value == null && !path.isEmpty() && values.keySet().stream().anyMatch(key -> key.startsWith(path + "."))) {
+            throw fault(path, "is a list or an object and not a plain value");
+        }
         return value == null || value.isEmpty() || value.equals("-") ? ifAbsent : value;
     }
 
@@ -228,9 +320,6 @@
 
     private double number(String path, double ifAbsent) {
         String value = text(path, null);
-        if (value == null && values.containsKey(path + ".count")) {
-            throw fault(path, "is a list and not a number");
-        }
         try {
             double number = value == null ? ifAbsent : Double.parseDouble(value);
             if (number >= 0 && number < 1e15) {
--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -21,23 +21,26 @@
     private final LongSupplier clock;
     private final Connector connector;
     private String address;
-    private final long connectUs;
-    private final long waitMs; // that a watch may wait for news; one that falls silent is not noticed sooner
+    private long connectUs;
+    private long waitMs; // that a watch may wait for news; one that falls silent is not noticed sooner
     private Link link;
     private Order.Watch asked; // null while no call is out
     private long limitUs;
     private boolean failing;
 
-    Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, long connectUs,
-            long waitMs, Budget budget) {
+    Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, Budget budget) {
         this.core = core;
         this.clock = clock;
         this.address = address;
-        this.connectUs = connectUs;
-        this.waitMs = waitMs;
         connector = new Connector(transport, this, budget);
     }
 
+    /** Limits for the calls from now on; the one that is out keeps its own. */
+    void limits(long toConnectUs, long toWaitMs) {
+        connectUs = toConnectUs;
+        waitMs = toWaitMs;
+    }
+
     void watch(Order.Watch order) {
         if (asked != null) {
             return; // the call that is out brings it
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -50,8 +50,8 @@
     private final Core core;
     private final LongSupplier clock;
     private final Connector connector;
-    private final long connectUs;
-    private final long idleUs;
+    private long connectUs;
+    private long idleUs;
     private final int most; // connections
     private final Map<Key, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Exchange> connecting = new ArrayDeque<>(); // in the order of their limits
@@ -59,16 +59,19 @@
     private final Set<Link> links = new HashSet<>(); // all that are open or opening
     private long sweptUs;
 
-    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, long connectUs, long idleUs, int most,
-            Budget budget) {
+    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, int most, Budget budget) {
         this.core = core;
         this.clock = clock;
-        this.connectUs = connectUs;
-        this.idleUs = idleUs;
         this.most = most;
         connector = new Connector(transport, this, budget);
     }
 
+    /** Limits for what connects and rests from now on; what is connecting keeps its own. */
+    void limits(long toConnectUs, long toRestUs) {
+        connectUs = toConnectUs;
+        idleUs = toRestUs;
+    }
+
     void push(Order.Push push) {
         Pool pool = pools.get(push.endpoint());
         if (pool == null || !pool.address().equals(push.address())) {
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -32,8 +32,8 @@
 
     private final Core core;
     private final LongSupplier clock;
-    private final Map<String, Category> categories;
-    private final long mostTtlUs;
+    private Map<String, Category> categories = Map.of();
+    private long mostTtlUs;
     private final int most; // connections
     private final Budget budget;
     private final Set<Link> links = new LinkedHashSet<>(); // those that carry nothing in the order since when
@@ -44,16 +44,19 @@
     private boolean ready;
     private boolean draining;
 
-    Listener(Core core, LongSupplier clock, Map<String, Category> categories, long mostTtlUs, int most,
-            Budget budget) {
+    Listener(Core core, LongSupplier clock, int most, Budget budget) {
         this.core = core;
         this.clock = clock;
-        this.categories = categories;
-        this.mostTtlUs = mostTtlUs;
         this.most = most;
         this.budget = budget;
     }
 
+    /** What may be asked for from now on; requests that are open go on. */
+    void serves(Map<String, Category> served, long longestTtlUs) {
+        categories = served;
+        mostTtlUs = longestTtlUs;
+    }
+
     void serve(TCPNIOServerConnection on) {
         server = on;
     }
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -1,5 +1,6 @@
 package dillcross.net;
 
+import dillcross.Logic;
 import dillcross.model.Category;
 import dillcross.sidecar.Core;
 import dillcross.sidecar.Order;
@@ -7,9 +8,12 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.ObjLongConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.memory.HeapMemoryManager;
@@ -31,7 +35,6 @@
 
     private final Core core;
     private final LongSupplier clock;
-    private final long mostTtlUs;
     private final TCPNIOTransport transport;
     private final Listener listener;
     private final Endpoints endpoints;
@@ -40,7 +43,8 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private final Loop loop = new Loop(this::look, this::turn, this::dueInUs);
     private volatile boolean stop;
-    private volatile String moveTo; // where the list is to be asked for from now on; null where it stays
+    private volatile long mostTtlUs; // of all settings so far: an op may be open from any of them
+    private final Queue<Runnable> changes = new ConcurrentLinkedQueue<>(); // to carry out between two turns
     private volatile String self; // our own address, once we listen
     private final long startedUs;
     private long rehearsed;
@@ -54,7 +58,6 @@
             long connectUs, long keepUs, long watchMs, int descriptors) {
         this.core = core;
         this.clock = clock;
-        this.mostTtlUs = mostTtlUs;
         look();
         startedUs = now;
         TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance();
@@ -65,14 +68,38 @@
         Budget budget = new Budget(Runtime.getRuntime().maxMemory() / 4);
         // Clients need more: some ask once and stay, some say nothing; an endpoint's connection serves one op after another.
         int third = (descriptors - SPARE_DESCRIPTORS) / 3;
+        listener = new Listener(core, this::now, 2 * third, budget);
+        endpoints = new Endpoints(transport, core, this::now, third, budget);
+        discovery = new Discovery(transport, core, this::now, discoveryAddress, budget);
+        limits(categories, mostTtlUs, connectUs, keepUs, watchMs);
+    }
+
+    private void limits(Iterable<Category> categories, long ttlUs, long connectUs, long keepUs, long watchMs) {
         Map<String, Category> byName = new LinkedHashMap<>();
         categories.forEach(c -> byName.put(c.name(), c));
-        listener = new Listener(core, this::now, byName, mostTtlUs, 2 * third, budget);
-        // A tenth early: the endpoint's clock for the idle limit began before ours.
-        endpoints = new Endpoints(transport, core, this::now, connectUs, keepUs - keepUs / 10, third,
-                budget);
-        discovery = new Discovery(transport, core, this::now, discoveryAddress, Math.max(connectUs, 1_000_000),
-                watchMs, budget);
+        mostTtlUs = Math.max(mostTtlUs, ttlUs);
+        listener.serves(byName, ttlUs);
+        endpoints.limits(connectUs, keepUs - keepUs / 10); // a tenth early: the endpoint's clock began before ours
+        discovery.limits(Math.max(connectUs, 1_000_000), watchMs);
+    }
+
+    /** Takes new settings on, all in one between two turns, and returns then; what is open, kept or learned stays. */
+    public void settings(ObjLongConsumer<Logic> teller, Iterable<Category> categories, long ttlUs, long connectUs,
+            long keepUs, long watchMs) throws InterruptedException {
+        between(() -> {
+            core.settings(now, teller);
+            limits(categories, ttlUs, connectUs, keepUs, watchMs);
+        });
+    }
+
+    private void between(Runnable change) throws InterruptedException {
+        CountDownLatch made = new CountDownLatch(1);
+        changes.add(() -> {
+            change.run();
+            made.countDown();
+        });
+        loop.wake();
+        made.await();
     }
 
     public void start(InetSocketAddress listen) throws IOException {
@@ -112,9 +139,11 @@
     }
 
     /** Has the list asked for at another address, at once; all else stays. */
-    public void moveDiscovery(String address) {
-        moveTo = address;
-        loop.wake();
+    public void moveDiscovery(String address) throws InterruptedException {
+        between(() -> {
+            discovery.move(address);
+            core.listMoved(now);
+        });
     }
 
     /** Stops accepting when new connections have ceased to come, answers what it has taken, then is done. */
@@ -141,11 +170,8 @@
         try {
             look();
             endpoints.sweep(now);
-            String to = moveTo;
-            if (to != null) {
-                moveTo = null;
-                discovery.move(to);
-                core.listMoved(now);
+            for (Runnable change; (change = changes.poll()) != null;) {
+                change.run();
             }
             discovery.sweep(now);
             for (Order order; (order = core.next(now)) != null;) {
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.ObjLongConsumer;
 import java.util.stream.Collectors;
 
 /**
@@ -73,6 +74,11 @@
 
     // ---- Inputs
 
+    /** New settings for the module, which is told by the caller; nothing that is kept here depends on them. */
+    public void settings(long nowUs, ObjLongConsumer<Logic> teller) {
+        teller.accept(logic, nowUs);
+    }
+
     /** News of the list; {@code watched} where a watch brought it, which then goes on. */
     public void list(long nowUs, long newVersion, boolean whole, List<Listed> entries, boolean watched) {
         boolean older = !whole && newVersion < version;
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -106,7 +106,8 @@
             }
         }
         try {
-            return Given.pairs(pairs).instance(seed);
+            Given given = Given.pairs(pairs);
+            return given.instance(seed, given.subscribes());
         } catch (FaultyKey e) {
             throw f.malformed(e.getMessage(), e);
         }
@@ -171,12 +172,12 @@
             String id = f.text();
             long started = f.micros(0);
             String health = f.text();
-            double size = f.real(1);
+            double weight = f.real(1);
             int cell = f.small();
             String zone = f.textOrNull();
             entries.add(new Endpoint(id, health.equals("up") ? Health.UP
                     : health.equals("draining") ? Health.DRAINING : Health.GONE, started, cell,
-                    zone == null ? "" : zone, machine == null ? "" : machine, size > 0 ? size : 1));
+                    zone == null ? "" : zone, machine == null ? "" : machine, weight > 0 ? weight : 1));
         }
         return entries;
     }
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -36,7 +36,7 @@
                 category("read", Effect.REDELIVERABLE, Group.ALL), category("cell", Effect.DEDUPLICATED, Group.CELL),
                 category("zone", Effect.DEDUPLICATED, Group.ZONE), category("any", Effect.DEDUPLICATED, Group.ALL),
                 category("once", Effect.AT_MOST_ONCE, Group.ALL)), List.of(tenants), COLD, rule, false, mustAsk, 10_000_000,
-                1_000_000, 0.03);
+                1_000_000, 0.03, false);
     }
 
     /** One of many in a large fleet, its zone one of three. */
--- a/src/test/java/dillcross/config/GivenTest.java
+++ b/src/test/java/dillcross/config/GivenTest.java
@@ -24,12 +24,12 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '!', value = {
-        "{\"settings\":{\"rules\":{\"fall_ms\":\"soon\"}}}!settings.rules.fall_ms",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"rules\":{\"fall_ms\":\"soon\"}}}!settings.rules.fall_ms",
         "{\"settings\":{\"categories\":[{\"name\":\"a\",\"target_latency_ms\":[]}]}}!settings.categories.0.target_latency_ms",
         "{\"settings\":{\"categories\":[{\"effect\":\"idempotent\"}]}}!settings.categories.0.name",
         "{\"settings\":{\"categories\":[{\"name\":\"a\"},{\"name\":\"a\"}]}}!settings.categories.1.name",
         "{\"settings\":{\"categories\":[]}}!settings.categories",
-        "{\"settings\":{\"limits\":{\"cancel\":\"maybe\"}}}!settings.limits.cancel",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"limits\":{\"cancel\":\"maybe\"}}}!settings.limits.cancel",
         "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"limits\":{\"connect_timeout_ms\":-5}}}!settings.limits.connect_timeout_ms",
         "{\"seed\":\"xyz\"}!seed", "{\"limits\":{\"sockets\":3}}!limits.sockets", "{!c.json"})
     void aFaultNamesItsKey(String json, String key) {
@@ -38,7 +38,7 @@
             given.seed();
             given.descriptors();
             Given settings = given.below("settings");
-            settings.instance(1);
+            settings.instance(1, settings.subscribes());
             settings.connectUs();
         });
         assertTrue(fault.getMessage().startsWith(key) || fault.getMessage().contains(key + ":"), fault.getMessage());
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -25,7 +25,7 @@
             new Category("buy", Effect.DEDUPLICATED, Group.CELL, 2_000_000, 400_000, 1),
             new Category("read", Effect.REDELIVERABLE, Group.ALL, 0, 400_000, 1),
             new Category("once", Effect.AT_MOST_ONCE, Group.ALL, 0, 400_000, 1)), List.of(),
-            new ColdRule(0.3, 1_000_000, 3, 1_000_000), new PushRule(3, true, true), false, true, 10_000_000, 1_000_000, 0));
+            new ColdRule(0.3, 1_000_000, 3, 1_000_000), new PushRule(3, true, true), false, true, 10_000_000, 1_000_000, 0, false));
     private long now = 1_000_000_000;
     private Reach reach = Reach.WHOLE_WRITTEN; // of a push that the core gives up
     private boolean restless; // the network reports a given-up push at once, unless this is set
