--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -30,12 +30,13 @@
     private static final double SMOOTH = 0.15; // of a new latency in an endpoint's estimate
     private static final long FORGET_US = 10_000_000; // a slow endpoint without answers is tried again then
     private static final double OVERDUE = 8; // expected latencies after which a push counts as silence
+    private static final double PATIENCE = 3; // expected latencies that a time-out has to have waited to be a failure
     private static final double CROSSING = 20; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
-    private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
+    private static final double QUEUE = 3; // times what is in flight without a queue, while calm
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
@@ -254,6 +255,8 @@
     private final Mean load = new Mean(); // in flight
     private double spanUs; // over which these are taken
     private long heardUs; // first answer
+    private double usualRank; // smoothed
+    private long ranked;
     private double slowed = 1; // smoothed latency over the calm one
 
     public Logic(long seed, String zone, int me, int sidecars, List<Category> categories,
@@ -346,7 +349,8 @@
         Kind kind = kinds.get(category);
         Op op = new Op(id, kind, ttlUs);
         op.tenant = tenants.get(tenant);
-        op.rank = rank(op) * (repeat ? 0.5 : 1);
+        op.rank = rank(op) * (repeat ? 0.5 : 1) * Math.min(1, ttlUs / (2 * kind.meanUs));
+        usualRank += Math.max(0.02, 1.0 / ++ranked) * (op.rank - usualRank);
         ops.put(id, op);
         todo.add(op);
     }
@@ -408,7 +412,10 @@
         } else if (outcome.failure) {
             // One time-out says as much as many slow answers; a sidecar with little traffic sees no more.
             s.slowness = push.lost ? s.slowness : Math.max(s.slowness, Math.min(20, tookUs / op.kind.meanUs));
-            failed(push);
+            // A client that gives up before an answer could be expected is no word on the endpoint's health.
+            if (outcome != Outcome.TIMED_OUT || tookUs > PATIENCE * op.kind.meanUs || s.probation == push) {
+                failed(push);
+            }
             if (outcome == Outcome.TIMED_OUT && !s.out && !push.lost) {
                 slow(push, tookUs); // a jam acks nothing, and must close the bound all the same
             }
@@ -569,7 +576,7 @@
         }
         if (room) {
             room = false;
-            while (!waiting.isEmpty() && bound()) {
+            while (!waiting.isEmpty() && bound(waiting.first())) {
                 Op op = waiting.first();
                 if (push(op, pick(op), false)) {
                     waiting.remove(op);
@@ -607,7 +614,7 @@
         for (int i = 0, from = (int) (spot * ring.size()); i < ring.size() && far.size() < want; i++) {
             use(zones.remove(ring.get((from + i) % ring.size()).is.zone()), far);
         }
-        largest = ring.stream().mapToDouble(s -> s.size() / s.pace[0]).max().orElse(1);
+        largest = ring.stream().mapToDouble(s -> s.size()).max().orElse(1);
         room = true;
     }
 
@@ -617,11 +624,18 @@
      * nothing of any. What is ejected or cold does not count, and when all that is used is full others help.
      */
     private void use(List<Server> location, List<Server> used) {
-        int warm = used.size();
-        for (int i = 0; location != null && i < location.size() && warm < want; i++) {
-            Server s = location.get(((int) (spot * location.size()) + i) % location.size());
+        double all = location == null ? 0 : location.stream().mapToDouble(s -> s.nominal).sum();
+        int from = 0;
+        for (double passed = spot * all; all > 0 && passed >= location.get(from).nominal; from++) {
+            passed -= location.get(from).nominal;
+        }
+        double wish = location == null ? 0 : want * all / location.size();
+        int warm = 0;
+        for (int i = 0; location != null && i < location.size() && (wish > 1e-9 * all || warm < 2); i++) {
+            Server s = location.get((from + i) % location.size());
             if (!s.out || in.get(0).out) {
                 used.add(s);
+                wish -= s.coldFromUs == 0 ? s.nominal : 0;
                 warm += s.coldFromUs == 0 ? 1 : 0;
             }
         }
@@ -644,8 +658,8 @@
     }
 
     /** There is room for one more; where few may be in flight their mean counts, or thin traffic starves. */
-    private boolean bound() {
-        double most = most();
+    private boolean bound(Op op) {
+        double most = most() * Math.max(0.5, Math.min(1.5, op.rank / usualRank));
         double under = most - load.at(loud());
         double slack = Math.sqrt(most); // by which a short burst may pass it
         double always = Math.min(slack, 0.5 * (most - FEW));
@@ -662,12 +676,12 @@
         double price = first ? 0 : op.pushes.get(op.pushes.size() - 1).end.mayHaveRun ? 1 : 0.25;
         if (spare < price) {
             giveUp(op);
-        } else if (!(first && !waiting.isEmpty()) && bound() && push(op, pick(op), false)) {
+        } else if (!(first && !waiting.isEmpty()) && bound(op) && push(op, pick(op), false)) {
             spare -= price;
         } else {
             double spareUs = op.kind.is.targetUs() - 1.5 * op.kind.meanUs; // it may wait and be in time still
             long until = op.bornUs + (long) Math.max(WAIT_SHARE * op.kind.is.targetUs(), 0.8 * spareUs);
-            if ((first || !bound() && !op.risky()) && !in.isEmpty() && until > now && until < op.endUs) {
+            if ((first || !bound(op) && !op.risky()) && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
                 room = true;
                 tasks.add(new Task(until, order++, null, op));
@@ -710,7 +724,7 @@
     private Server draw(Op op, List<Server> from) {
         Server s = null;
         for (int i = 0; i < 5 && !from.isEmpty(); i++) { // more often the larger: what we see tells it late
-            boolean other = s == null || random.nextDouble() * largest > s.size() / s.pace[0];
+            boolean other = s == null || random.nextDouble() * largest > s.size();
             s = other ? from.get(random.nextInt(from.size())) : s;
         }
         return s != null && usable(op, s) ? s : null;
@@ -840,7 +854,7 @@
                 push.to.inFlight.remove(push);
             }
         }
-        if (late && !op.over && op.out == 1 && spare >= 1 && bound() && push(op, pick(op), false)) {
+        if (late && !op.over && op.out == 1 && spare >= 1 && bound(op) && push(op, pick(op), false)) {
             spare--;
         }
     }
