--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -37,6 +37,7 @@
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 3; // times what is in flight without a queue, while calm
+    private static final double REPEAT = 0.7;
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
@@ -75,6 +76,7 @@
         final long endUs;
         final long number = order++;
         double rank;
+        double part;
         Tally tenant; // null where it has no quota
         final List<Push> pushes = new ArrayList<>(2);
         int out;
@@ -349,8 +351,10 @@
         Kind kind = kinds.get(category);
         Op op = new Op(id, kind, ttlUs);
         op.tenant = tenants.get(tenant);
-        op.rank = rank(op) * (repeat ? 0.5 : 1) * Math.min(1, ttlUs / (2 * kind.meanUs));
-        usualRank += Math.max(0.02, 1.0 / ++ranked) * (op.rank - usualRank);
+        double worth = Math.sqrt(kind.is.benefit() / (byWork ? 1 : kind.meanUs)) * Math.min(1, ttlUs / (2 * kind.meanUs));
+        op.rank = worth * rank(op) * (repeat ? 0.5 : 1);
+        usualRank += Math.max(0.02, 1.0 / ++ranked) * (worth - usualRank);
+        op.part = worth / usualRank * (repeat ? REPEAT : 1);
         ops.put(id, op);
         todo.add(op);
     }
@@ -377,8 +381,7 @@
         came++;
         op.kind.tally.came++;
         // The root of the benefit for the work: the best is served first, and no category starves for it.
-        double rank = Math.sqrt(op.kind.is.benefit() / (byWork ? 1 : op.kind.calmUs + 1))
-                * op.kind.tally.need(came);
+        double rank = op.kind.tally.need(came);
         if (op.tenant != null) {
             op.tenant.came++;
             rank *= op.tenant.need(due); // a burst must not raise the share that it is held to
@@ -614,7 +617,7 @@
         for (int i = 0, from = (int) (spot * ring.size()); i < ring.size() && far.size() < want; i++) {
             use(zones.remove(ring.get((from + i) % ring.size()).is.zone()), far);
         }
-        largest = ring.stream().mapToDouble(s -> s.size()).max().orElse(1);
+        largest = ring.stream().mapToDouble(s -> s.size() / s.pace[0]).max().orElse(1);
         room = true;
     }
 
@@ -659,7 +662,7 @@
 
     /** There is room for one more; where few may be in flight their mean counts, or thin traffic starves. */
     private boolean bound(Op op) {
-        double most = most() * Math.max(0.5, Math.min(1.5, op.rank / usualRank));
+        double most = most() * Math.max(0.25, Math.min(2, op.part));
         double under = most - load.at(loud());
         double slack = Math.sqrt(most); // by which a short burst may pass it
         double always = Math.min(slack, 0.5 * (most - FEW));
@@ -724,7 +727,7 @@
     private Server draw(Op op, List<Server> from) {
         Server s = null;
         for (int i = 0; i < 5 && !from.isEmpty(); i++) { // more often the larger: what we see tells it late
-            boolean other = s == null || random.nextDouble() * largest > s.size();
+            boolean other = s == null || random.nextDouble() * largest > s.size() / s.pace[0];
             s = other ? from.get(random.nextInt(from.size())) : s;
         }
         return s != null && usable(op, s) ? s : null;
