--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -36,7 +36,7 @@
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
-    private static final double QUEUE = 3; // times what is in flight without a queue, while calm
+    private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
     private static final double REPEAT = 0.7;
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
@@ -354,7 +354,7 @@
         double worth = Math.sqrt(kind.is.benefit() / (byWork ? 1 : kind.meanUs)) * Math.min(1, ttlUs / (2 * kind.meanUs));
         op.rank = worth * rank(op) * (repeat ? 0.5 : 1);
         usualRank += Math.max(0.02, 1.0 / ++ranked) * (worth - usualRank);
-        op.part = worth / usualRank * (repeat ? REPEAT : 1);
+        op.part = (kind.answers < ANSWERS ? 1 : worth / usualRank) * (repeat ? REPEAT : 1);
         ops.put(id, op);
         todo.add(op);
     }
@@ -494,7 +494,7 @@
     private void slow(Push push, long tookUs) {
         if (push.to.coldFromUs == 0) { // a cold endpoint is slow without a queue
             long target = push.op.kind.is.targetUs();
-            double slow = tookUs / Math.max(0.2 * target, Math.min(0.33 * target, push.op.kind.calmUs));
+            double slow = tookUs / Math.max(1, Math.min(5, push.to.slowness)) / Math.max(0.2 * target, Math.min(0.33 * target, push.op.kind.calmUs));
             double part = Math.max(0.06, 1 / (4 + 1e6 * answers.at(0)));
             slowed += part * (Math.max(0.6, Math.min(5, slow)) - slowed);
         }
