--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -42,8 +42,8 @@
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
-    private static final double COLD_PART = 0.5; // of our part of a cold endpoint's budget
-    private static final int LEAST_USED = 3; // endpoints of a location that a sidecar uses at the least
+    private static final double COLD_PART = 0.7; // of our part of a cold endpoint's budget
+    private static final double LEAST_USED = 1.5; // endpoints of a location that a sidecar uses at the least
     private static final double USED = 0.25; // of them for each op a second, so that each is heard of in time
 
     // ---- For one push
@@ -351,10 +351,10 @@
         Kind kind = kinds.get(category);
         Op op = new Op(id, kind, ttlUs);
         op.tenant = tenants.get(tenant);
-        double worth = Math.sqrt(kind.is.benefit() / (byWork ? 1 : kind.meanUs)) * Math.min(1, ttlUs / (2 * kind.meanUs));
+        double worth = Math.sqrt(kind.is.benefit() / (byWork ? 1 : Math.max(kind.meanUs, kind.is.targetUs() * 0.2))) * Math.min(1, ttlUs / (2 * kind.meanUs));
         op.rank = worth * rank(op) * (repeat ? 0.5 : 1);
         usualRank += Math.max(0.02, 1.0 / ++ranked) * (worth - usualRank);
-        op.part = (kind.answers < ANSWERS ? 1 : worth / usualRank) * (repeat ? REPEAT : 1);
+        op.part = worth / usualRank * (repeat ? REPEAT : 1);
         ops.put(id, op);
         todo.add(op);
     }
