Connections to endpoints that are not in use are let go; turning to others begins at the own spot

A tap counted 139 sidecars that had pushed to one endpoint whose table holds 90, as sets move with each release and connections idle for 60 s. The fallback also began at the same endpoint for all.

--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -38,6 +38,7 @@
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
     private static final double REPEAT = 0.7;
+    private static final long UNUSED_US = 2_000_000; // after which connections to what is not in use are let go
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
@@ -144,6 +145,9 @@
         long coldAnswers;
         long window; // of the cold rule
         int sent; // pushes in it
+        boolean used; // by the choice of what is in use
+        boolean connected; // pushed to since its connections were let go
+        long pushedUs;
         double lot; // redrawn for each such window: what the fraction of a push comes to
 
         final long place; // on the ring, the same at all sidecars
@@ -248,6 +252,7 @@
     private int listFailures;
     private boolean listChanged;
     private boolean room;
+    private boolean tidy;
     private double largest; // size that the list gives to an endpoint
     private double spare = 1; // a budget from the start would add up over hundreds of sidecars
     private int flying;
@@ -369,6 +374,7 @@
             due = tenants.isEmpty() ? came : 0;
             tenants.values().forEach(t -> due += Math.min(t.came, t.part * came));
             fadedUs = now;
+            tidy = true;
             spanUs = Math.max(slotUs, ANSWERS / Math.max(0.1, came) * FADE_US);
             double perS = came * 1e6 / FADE_US;
             double wish = perS > servers.size() * (want < servers.size() ? 1 : 0.7) ? servers.size() + 1
@@ -572,6 +578,15 @@
         if (listChanged) {
             sort();
         }
+        if (tidy) { // hundreds of sidecars fill an endpoint's table with connections that each used once
+            tidy = false;
+            for (Server s : servers.values()) {
+                if (s.connected && !s.used && s.flying == 0 && now - s.pushedUs > UNUSED_US) {
+                    s.connected = false;
+                    ready.add(Decision.release(s.is.id()));
+                }
+            }
+        }
         for (Op op; (op = todo.poll()) != null;) {
             if (!op.over && op.out == 0) {
                 place(op);
@@ -604,6 +619,7 @@
     private void sort() {
         listChanged = false;
         List.of(in, near, far, ejected).forEach(List::clear);
+        servers.values().forEach(s -> s.used = false);
         servers.values().removeIf(s -> !s.listed && s.flying == 0); // long gone: nothing is kept of it
         List<Server> ring = servers.values().stream().filter(s -> s.listed)
                 .sorted(Comparator.comparingLong(s -> s.place)).toList();
@@ -611,6 +627,7 @@
         if (in.isEmpty()) {
             in.addAll(ejected); // the design: with every endpoint ejected, pick as if none were
         }
+        Collections.rotate(in, -(int) (spot * in.size())); // or all would turn to the same one when theirs are full
         Map<String, List<Server>> zones = new HashMap<>();
         ring.forEach(s -> zones.computeIfAbsent(s.is.zone(), z -> new ArrayList<>()).add(s));
         use(zones.remove(zone), near);
@@ -638,6 +655,7 @@
             Server s = location.get((from + i) % location.size());
             if (!s.out || in.get(0).out) {
                 used.add(s);
+                s.used = true;
                 wish -= s.coldFromUs == 0 ? s.nominal : 0;
                 warm += s.coldFromUs == 0 ? 1 : 0;
             }
@@ -768,6 +786,8 @@
         Push push = new Push(op, s);
         op.pushes.add(push);
         op.out++;
+        s.connected = true;
+        s.pushedUs = now;
         s.flying++;
         load.at(loud());
         flying++;
--- a/src/main/java/dillcross/model/Decision.java
+++ b/src/main/java/dillcross/model/Decision.java
@@ -12,6 +12,8 @@
         DEAD_LETTER,
         /** Call back one push of the op. */
         CANCEL,
+        /** Close the idle connections to the endpoint: it is not in use any more. */
+        RELEASE,
         /** Subscribe to changes of the list. */
         LISTEN,
         /** Call {@code woken} when {@code us} from now have passed. */
@@ -34,6 +36,10 @@
         return new Decision(Kind.CANCEL, op, push, null, 0);
     }
 
+    public static Decision release(String endpoint) {
+        return new Decision(Kind.RELEASE, 0, 0, endpoint, 0);
+    }
+
     public static Decision listen() {
         return new Decision(Kind.LISTEN, 0, 0, null, 0);
     }
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -237,7 +237,10 @@
     private void carryOut(long nowUs, Decision decision) {
         Op op = ops.get(decision.op());
         boolean known = op != null && (!op.over || decision.kind() == Decision.Kind.CANCEL);
-        boolean general = decision.kind() == Decision.Kind.LISTEN || decision.kind() == Decision.Kind.WAKE;
+        boolean general = switch (decision.kind()) {
+            case LISTEN, WAKE, RELEASE -> true;
+            default -> false;
+        };
         if (!known && !general) {
             return;
         }
@@ -263,6 +266,7 @@
                 over(decision.op(), op);
             }
             case CANCEL -> giveUp(decision.op(), op, decision.push(), false);
+            case RELEASE -> ready.add(new Order.Forget(decision.endpoint()));
             case LISTEN -> watch(nowUs);
             case WAKE -> timer(nowUs + decision.us(), What.WAKE, 0, 0);
         }
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -234,6 +234,7 @@
             }
             case DEAD_LETTER -> line("report_failure", sidecar, d.op());
             case CANCEL -> line("undo_send", sidecar, d.op()).append(' ').append(d.push());
+            case RELEASE -> reply.append("close_idle ").append(sidecar).append(' ').append(d.endpoint());
             case LISTEN -> line("listen", sidecar, 1);
             case WAKE -> {
                 reply.append("wake_at ").append(sidecar).append(' ');
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -161,6 +161,7 @@
                         throw new AssertionError("answered twice: " + d);
                     }
                 }
+                case RELEASE -> { }
                 case WAKE -> wakes.add(nowMs + (d.us() + 999) / 1000);
                 case LISTEN -> listens.add(nowMs);
                 case CANCEL -> cancelled.addAll(out.stream().filter(p -> p.op() == d.op() && p.number() == d.push())
