--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -37,7 +37,7 @@
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
-    private static final double REPEAT = 0.7;
+    private static final double REPEAT = 0.4;
     private static final long UNUSED_US = 2_000_000; // after which connections to what is not in use are let go
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
@@ -723,7 +723,7 @@
     private void giveUp(Op op) {
         Category c = op.kind.is;
         boolean mayNack = !op.risky() || harmless(op.is) && harmless(c);
-        long wait = Math.min(mostRetryAfterUs, (long) (c.targetUs() * (0.25 + 0.25 * random.nextDouble())));
+        long wait = Math.min(mostRetryAfterUs, (long) (c.targetUs() * (0.1 + 0.2 * random.nextDouble())));
         ready.add(mayNack ? Decision.nack(op.id, wait) : Decision.deadLetter(op.id));
         settle(op, true);
     }
