--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -30,21 +30,22 @@
     private static final double SMOOTH = 0.15; // of a new latency in an endpoint's estimate
     private static final long FORGET_US = 10_000_000; // a slow endpoint without answers is tried again then
     private static final double OVERDUE = 8; // expected latencies after which a push counts as silence
-    private static final double PATIENCE = 3; // expected latencies that a time-out has to have waited to be a failure
+    private static final double PATIENCE = 3; // expected latencies before which a time-out is no failure
     private static final double CROSSING = 20; // what the price of crossing zones weighs in the pick
     private static final double FIRST_LIMIT = 3; // in flight at an endpoint by all sidecars, at the start
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
-    private static final double REPEAT = 0.4;
-    private static final long UNUSED_US = 2_000_000; // after which connections to what is not in use are let go
+    private static final double REPEAT = 0.4; // of a first try's part of the bound, for a repeat
+    private static final long UNUSED_US = 2_000_000; // before connections to what is not in use are let go
+    private static final double RENEWAL = 0.2; // of a renewed weight in what an endpoint seems to hold
     private static final double FEW = 3; // in flight; a bound of more lets bursts pass at any time
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
     private static final double COLD_PART = 0.7; // of our part of a cold endpoint's budget
-    private static final double LEAST_USED = 1.5; // endpoints of a location that a sidecar uses at the least
+    private static final double LEAST_USED = 1.5; // mean sizes of a location that a sidecar uses at the least
     private static final double USED = 0.25; // of them for each op a second, so that each is heard of in time
 
     // ---- For one push
@@ -66,18 +67,17 @@
         }
     }
 
-
     // ---- For one op
     private final class Op {
         final long id;
         final Kind kind;
-        final Category is; // as it came in: new settings may say otherwise of its kind, and the stricter holds
+        final Category is; // as it came in; should its kind change meanwhile, the stricter holds
         final PushRule rule = Logic.this.rule; // likewise
         final long bornUs = now;
         final long endUs;
         final long number = order++;
         double rank;
-        double part;
+        double part; // of the bound: its worth for its time against the usual
         Tally tenant; // null where it has no quota
         final List<Push> pushes = new ArrayList<>(2);
         int out;
@@ -146,23 +146,17 @@
         long window; // of the cold rule
         int sent; // pushes in it
         boolean used; // by the choice of what is in use
-        boolean connected; // pushed to since its connections were let go
-        long pushedUs;
+        long pushedUs; // last; 0 where its connections were let go since
         double lot; // redrawn for each such window: what the fraction of a push comes to
 
         final long place; // on the ring, the same at all sidecars
 
-        double nominal; // the largest weight seen: with nothing held
-        double held; // a core, smoothed
+        double nominal; // its size; of weights that move with load the largest: with nothing held
+        double held; // ops a core by those weights, smoothed: sidecars that follow a late figure herd
 
         void weigh(double weight, boolean live) {
-            if (!live) {
-                nominal = weight;
-                held = 0;
-                return;
-            }
-            nominal = Math.max(nominal, weight);
-            held += 0.2 * (nominal / weight - 1 - held);
+            nominal = live ? Math.max(nominal, weight) : weight;
+            held = live ? held + RENEWAL * (nominal / weight - 1 - held) : 0;
         }
 
         double size() {
@@ -222,6 +216,7 @@
     private long askWithinUs;
     private long mostRetryAfterUs;
     private double crossing;
+    private double leaving = 1; // it weighs less where our own location is the more crowded
     private boolean live; // the list's weights move with load
     private long slotUs; // the mean target latency
     private final Map<String, Kind> kinds = new HashMap<>();
@@ -252,7 +247,6 @@
     private int listFailures;
     private boolean listChanged;
     private boolean room;
-    private boolean tidy;
     private double largest; // size that the list gives to an endpoint
     private double spare = 1; // a budget from the start would add up over hundreds of sidecars
     private int flying;
@@ -262,8 +256,8 @@
     private final Mean load = new Mean(); // in flight
     private double spanUs; // over which these are taken
     private long heardUs; // first answer
-    private double usualRank; // smoothed
-    private long ranked;
+    private double usualWorth; // for its time, of an op
+    private long arrivals;
     private double slowed = 1; // smoothed latency over the calm one
 
     public Logic(long seed, String zone, int me, int sidecars, List<Category> categories,
@@ -276,7 +270,7 @@
 
     // ======== Inputs: these only note what is known
 
-    /** New settings, whole. Endpoints, ops and what was learned, by the names of categories and tenants, stay. */
+    /** New settings, whole. Endpoints, ops and what was learned (by category and tenant name) stay. */
     public void settings(long nowUs, String zone, int me, int sidecars, List<Category> categories,
             List<Tenant> tenants, ColdRule cold, PushRule rule, boolean byWork, boolean mustAsk,
             long askWithinUs, long mostRetryAfterUs, double crossingPrice, boolean live) {
@@ -309,6 +303,7 @@
         }
         listenUs = mustAsk ? listenUs : Long.MAX_VALUE;
         this.mustAsk = mustAsk;
+        servers.values().forEach(s -> s.weigh(s.is.weight(), live && s.held > 0)); // until the next renewal
         listChanged = true;
     }
 
@@ -323,15 +318,13 @@
         }
         for (Endpoint e : entries) {
             Server s = servers.computeIfAbsent(e.id(), id -> new Server(e));
-            s.weigh(e.weight(), live);
+            Endpoint was = s.is;
             boolean up = e.health() == Endpoint.Health.UP;
-            // Weights that move with load come for all endpoints many times a second: they are no change of the list.
-            if (s.is != e && up == s.listed && e.startedUs() == s.is.startedUs()
-                    && (live || e.weight() == s.is.weight())) {
-                continue;
-            }
-            listChanged = true;
-            if (e.startedUs() > s.is.startedUs() || s.is == e) { // a new process: nothing old holds
+            // Weights that move with load come many times a second, for all endpoints: no change of the list.
+            listChanged |= was == e || up != s.listed || e.startedUs() != was.startedUs()
+                    || e.cell() != was.cell() || !e.zone().equals(was.zone())
+                    || !live && e.weight() != was.weight();
+            if (e.startedUs() > was.startedUs() || was == e) { // a new process: nothing old holds
                 s.pace = paces.computeIfAbsent(e.machine(), m -> new double[] {1});
                 s.slowness = s.pace[0];
                 s.heard = 0;
@@ -339,7 +332,15 @@
             }
             s.is = e;
             s.listed = up;
+            s.weigh(e.weight(), live);
+        }
+        double[] held = {0, 1e-9, 0, 1e-9}; // and the sizes to it, of our own location and of the others
+        for (Server s : servers.values()) {
+            int i = s.is.zone().equals(zone) ? 0 : 2;
+            held[i] += s.listed ? s.nominal * s.held : 0;
+            held[i + 1] += s.listed ? s.nominal : 0;
         }
+        leaving = (1 + held[2] / held[3]) / (1 + held[0] / held[1]);
     }
 
     /** A call to the list failed, or its subscription broke. */
@@ -356,16 +357,19 @@
         Kind kind = kinds.get(category);
         Op op = new Op(id, kind, ttlUs);
         op.tenant = tenants.get(tenant);
-        double worth = Math.sqrt(kind.is.benefit() / (byWork ? 1 : Math.max(kind.meanUs, kind.is.targetUs() * 0.2))) * Math.min(1, ttlUs / (2 * kind.meanUs));
-        op.rank = worth * rank(op) * (repeat ? 0.5 : 1);
-        usualRank += Math.max(0.02, 1.0 / ++ranked) * (worth - usualRank);
-        op.part = worth / usualRank * (repeat ? REPEAT : 1);
+        // A sidecar with little traffic hardly ever has two that wait, so an op's worth for its time says how
+        // much of the bound is for it, too; little where its client gives up before an answer can come.
+        double time = byWork ? 1 : Math.max(kind.meanUs, 0.2 * kind.is.targetUs());
+        double worth = Math.sqrt(kind.is.benefit() / time) * Math.min(1, ttlUs / (2 * kind.meanUs));
+        usualWorth += Math.max(0.02, 1.0 / ++arrivals) * (worth - usualWorth);
+        op.part = Math.max(0.25, Math.min(2, worth / Math.max(1e-9, usualWorth) * (repeat ? REPEAT : 1)));
+        op.rank = need(op) * worth * (repeat ? REPEAT : 1);
         ops.put(id, op);
         todo.add(op);
     }
 
-    /** Counts the op in, and says how far forward it waits: by benefit and by need. */
-    private double rank(Op op) {
+    /** Counts the op in, and says how far its category and tenant are behind what they may get. */
+    private double need(Op op) {
         if (now - fadedUs > slotUs) {
             double left = Math.exp((fadedUs - now) / FADE_US);
             tenants.values().forEach(t -> t.fade(left));
@@ -374,7 +378,6 @@
             due = tenants.isEmpty() ? came : 0;
             tenants.values().forEach(t -> due += Math.min(t.came, t.part * came));
             fadedUs = now;
-            tidy = true;
             spanUs = Math.max(slotUs, ANSWERS / Math.max(0.1, came) * FADE_US);
             double perS = came * 1e6 / FADE_US;
             double wish = perS > servers.size() * (want < servers.size() ? 1 : 0.7) ? servers.size() + 1
@@ -386,13 +389,12 @@
         }
         came++;
         op.kind.tally.came++;
-        // The root of the benefit for the work: the best is served first, and no category starves for it.
-        double rank = op.kind.tally.need(came);
+        double need = op.kind.tally.need(came);
         if (op.tenant != null) {
             op.tenant.came++;
-            rank *= op.tenant.need(due); // a burst must not raise the share that it is held to
+            need *= op.tenant.need(due); // a burst must not raise the share that it is held to
         }
-        return rank;
+        return need;
     }
 
     /** A push has ended; {@code over} where the op is over with it or was before. */
@@ -500,7 +502,9 @@
     private void slow(Push push, long tookUs) {
         if (push.to.coldFromUs == 0) { // a cold endpoint is slow without a queue
             long target = push.op.kind.is.targetUs();
-            double slow = tookUs / Math.max(1, Math.min(5, push.to.slowness)) / Math.max(0.2 * target, Math.min(0.33 * target, push.op.kind.calmUs));
+            // Against its own usual: where one of the few in use is slow, the rest must not be closed for it.
+            double slow = tookUs / Math.max(1, Math.min(5, push.to.slowness))
+                    / Math.max(0.2 * target, Math.min(0.33 * target, push.op.kind.calmUs));
             double part = Math.max(0.06, 1 / (4 + 1e6 * answers.at(0)));
             slowed += part * (Math.max(0.6, Math.min(5, slow)) - slowed);
         }
@@ -578,13 +582,11 @@
         if (listChanged) {
             sort();
         }
-        if (tidy) { // hundreds of sidecars fill an endpoint's table with connections that each used once
-            tidy = false;
-            for (Server s : servers.values()) {
-                if (s.connected && !s.used && s.flying == 0 && now - s.pushedUs > UNUSED_US) {
-                    s.connected = false;
-                    ready.add(Decision.release(s.is.id()));
-                }
+        for (Server s : now == fadedUs ? servers.values() : List.<Server>of()) {
+            // Hundreds of sidecars fill an endpoint's table with connections that each used for a moment.
+            if (s.pushedUs > 0 && !s.used && s.flying == 0 && now - s.pushedUs > UNUSED_US) {
+                s.pushedUs = 0;
+                ready.add(Decision.release(s.is.id()));
             }
         }
         for (Op op; (op = todo.poll()) != null;) {
@@ -627,7 +629,7 @@
         if (in.isEmpty()) {
             in.addAll(ejected); // the design: with every endpoint ejected, pick as if none were
         }
-        Collections.rotate(in, -(int) (spot * in.size())); // or all would turn to the same one when theirs are full
+        Collections.rotate(in, -(int) (spot * in.size())); // or all whose own are full turn to the same one
         Map<String, List<Server>> zones = new HashMap<>();
         ring.forEach(s -> zones.computeIfAbsent(s.is.zone(), z -> new ArrayList<>()).add(s));
         use(zones.remove(zone), near);
@@ -644,14 +646,15 @@
      * nothing of any. What is ejected or cold does not count, and when all that is used is full others help.
      */
     private void use(List<Server> location, List<Server> used) {
-        double all = location == null ? 0 : location.stream().mapToDouble(s -> s.nominal).sum();
+        location = location == null ? List.of() : location;
+        double all = location.stream().mapToDouble(s -> s.nominal).sum();
         int from = 0;
-        for (double passed = spot * all; all > 0 && passed >= location.get(from).nominal; from++) {
-            passed -= location.get(from).nominal;
+        for (double at = spot * all; from < location.size() - 1 && at >= location.get(from).nominal; from++) {
+            at -= location.get(from).nominal;
         }
-        double wish = location == null ? 0 : want * all / location.size();
-        int warm = 0;
-        for (int i = 0; location != null && i < location.size() && (wish > 1e-9 * all || warm < 2); i++) {
+        double wish = want * all / location.size();
+        int warm = 0; // two at the least, to choose between
+        for (int i = 0; i < location.size() && (wish > 1e-9 * all || warm < 2); i++) {
             Server s = location.get((from + i) % location.size());
             if (!s.out || in.get(0).out) {
                 used.add(s);
@@ -680,14 +683,13 @@
 
     /** There is room for one more; where few may be in flight their mean counts, or thin traffic starves. */
     private boolean bound(Op op) {
-        double most = most() * Math.max(0.25, Math.min(2, op.part));
+        double most = most() * op.part;
         double under = most - load.at(loud());
         double slack = Math.sqrt(most); // by which a short burst may pass it
         double always = Math.min(slack, 0.5 * (most - FEW));
         return loud() < most + Math.max(Math.max(-slack, always), Math.min(slack, 2 * under));
     }
 
-
     private void place(Op op) {
         boolean first = op.pushes.isEmpty();
         if (first && onProbation(op)) {
@@ -729,7 +731,8 @@
     }
 
     private static boolean harmless(Category c) {
-        return c.effect() == Effect.REDELIVERABLE || c.effect() == Effect.DEDUPLICATED && c.group() == Group.ALL;
+        return c.effect() == Effect.REDELIVERABLE
+                || c.effect() == Effect.DEDUPLICATED && c.group() == Group.ALL;
     }
 
     // ---- The pick
@@ -773,7 +776,7 @@
         if (oldest != null) { // silence: an old push says more than answers from before it
             slow = Math.max(slow, (now - oldest.sentUs) / oldest.op.kind.meanUs);
         }
-        return slow * (s.flying + 1) * (s.is.zone().equals(zone) ? 1 : crossing);
+        return slow * (s.flying + 1) * (s.is.zone().equals(zone) ? 1 : crossing * leaving);
     }
 
     // ---- The one way out: every push passes here, and with it every rule
@@ -786,7 +789,6 @@
         Push push = new Push(op, s);
         op.pushes.add(push);
         op.out++;
-        s.connected = true;
         s.pushedUs = now;
         s.flying++;
         load.at(loud());
--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -272,8 +272,8 @@
 
     /** Endpoints e0, e1 ... spread over three zones, with what else each has. */
     private static String[] fleet(int endpoints, String health) {
-        return IntStream.range(0, endpoints).mapToObj(i -> "e" + i + ":" + health + ":" + i / 4 + ":"
-                + List.of("east", "west", "north").get(i % 3)).toArray(String[]::new);
+        return IntStream.range(0, endpoints).mapToObj(i -> "e" + i + ":" + health
+                + (health.contains(":") ? "" : ":" + i / 4 + ":" + List.of("east", "west", "north").get(i % 3))).toArray(String[]::new);
     }
 
     @ParameterizedTest
@@ -560,4 +560,164 @@
         assertEquals(-1, s.answers.get(op).op(), "no answer of ours");
         assertEquals(1, s.pushes.get(op));
     }
+
+    // ---- Weights that move with load, many sidecars on one fleet
+
+    /** All sidecars see the same late weights: low once must not turn them all away, low for long must. */
+    @Test
+    void heldOpsTellInTheLongRun() {
+        int[] got = new int[3];
+        for (int seed = 0; seed < 20; seed++) {
+            Sidecar s = new Sidecar(Sidecar.PUSHES, false, "east", seed, 3);
+            s.settings(Sidecar.PUSHES, true, Sidecar.CATEGORIES);
+            s.list(true, "a", "b");
+            s.traffic(20, "b");
+            got[0] += s.traffic(20, "b");
+            for (int renewals = 0; renewals < 30; renewals++) {
+                s.list(false, "b:UP:1:east:0:0.2");
+                got[1] += renewals == 0 ? s.traffic(20, "b") : 0;
+            }
+            got[2] += s.traffic(20, "b");
+        }
+        assertTrue(got[1] > 0.25 * got[0], "once: " + Arrays.toString(got));
+        assertTrue(got[2] < 0.25 * got[0], "for long: " + Arrays.toString(got));
+    }
+
+    /** What is in use is counted by size: over many sidecars with little traffic large endpoints get their multiple. */
+    @Test
+    void sidecarsShareThemBySize() {
+        int[] got = new int[2];
+        for (int me = 0; me < 200; me++) {
+            String zone = List.of("east", "west", "north").get(me % 3);
+            Sidecar s = Sidecar.oneOf(200, me, IntStream.range(0, 30).mapToObj(i -> "e" + i + ":UP:1:"
+                    + zone + ":0:" + (i % 2 == 0 ? 4 : 1)).toArray(String[]::new));
+            s.thin(24, 250).forEach((e, n) -> got[Integer.parseInt(e.substring(1)) % 2] += n);
+        }
+        assertTrue(got[0] > 3 * got[1], got[0] + " and " + got[1]);
+    }
+
+    /** With one in flight, another goes out where it is worth much for its time, and waits where it is not. */
+    @ParameterizedTest
+    @CsvSource({"20, true", "0.05, false"})
+    void theBoundIsWiderForWhatIsWorthMore(double benefit, boolean pushed) {
+        Sidecar s = Sidecar.oneOf(100, 0, fleet(12, "UP:1:east"));
+        List<Category> categories = new ArrayList<>(Sidecar.CATEGORIES);
+        categories.add(new Category("dear", Effect.AT_MOST_ONCE, Group.ALL, 0, 400_000, benefit));
+        s.settings(Sidecar.PUSHES, false, categories);
+        int second = 0;
+        for (int i = 0; i < 60; i++) {
+            s.arrive("read");
+            s.pass(10);
+            long op = i > 20 ? s.arrive("dear") : 0;
+            second += s.out.stream().anyMatch(p -> p.op() == op) ? 1 : 0;
+            s.pass(60);
+            s.endAll(p -> true, Outcome.ACKED);
+            s.pass(400);
+            s.endAll(p -> true, Outcome.ACKED);
+        }
+        assertEquals(pushed, second > 30, "went out at once: " + second);
+    }
+
+    /** One slow endpoint of the few in use must not close the bound for the others. */
+    @Test
+    void oneSlowEndpointDoesNotCloseTheBound() {
+        Sidecar s = Sidecar.oneOf(300, 0, fleet(30, "UP"));
+        s.thin(60, 250);
+        Set<String> used = s.thin(20, 250).keySet();
+        String slow = used.stream().sorted().findFirst().orElseThrow();
+        int ops = 0;
+        for (int i = 0; i < 400; i++) {
+            ops++;
+            s.arrive("once");
+            for (int j = 0; j < 10; j++) {
+                s.pass(20);
+                s.endAll(p -> p.atMs() <= s.nowMs - (p.endpoint().equals(slow) ? 300 : 20), Outcome.ACKED);
+            }
+        }
+        long nacked = s.answers.values().stream().filter(d -> d.kind() == Decision.Kind.NACK).count();
+        assertTrue(nacked < 0.05 * ops, "nacked " + nacked + " of " + ops);
+    }
+
+    /** Connections to endpoints that have come out of use are let go; those in use are kept. */
+    @Test
+    void connectionsToWhatIsNotUsedAreLetGo() {
+        String[] before = fleet(30, "UP");
+        Sidecar s = Sidecar.oneOf(100, 0, before);
+        s.thin(40, 250);
+        Set<String> used = s.thin(40, 250).keySet();
+        s.list(false, used.stream().map(e -> Arrays.stream(before).filter(b -> b.startsWith(e + ":")).findFirst()
+                .orElseThrow().replace("UP", "DRAINING")).toArray(String[]::new));
+        Set<String> others = s.thin(20, 250).keySet();
+        s.released.clear();
+        s.list(true, before);
+        s.thin(40, 250);
+        assertTrue(s.released.containsAll(others), others + " but let go: " + s.released);
+        assertTrue(Collections.disjoint(s.released, used), used + " let go: " + s.released);
+    }
+
+    /** Sidecars whose own endpoints are full turn to different others, each from its own spot on. */
+    @Test
+    void theyTurnToDifferentOthers() {
+        Set<String> to = new HashSet<>();
+        for (int me = 0; me < 30; me += 3) {
+            Sidecar s = Sidecar.oneOf(30, me, fleet(60, "UP:1:east"));
+            Set<String> used = s.thin(40, 250).keySet();
+            for (int i = 0; i < 40; i++) {
+                s.arrive("read");
+                s.pass(5);
+                s.endAll(p -> used.contains(p.endpoint()), Outcome.FULL);
+                s.out.stream().findFirst().ifPresent(p -> to.add(p.endpoint()));
+                s.endAll(p -> true, Outcome.ACKED);
+                s.pass(20);
+            }
+        }
+        assertTrue(to.size() >= 8, "ten sidecars turned to " + to);
+    }
+
+    // ---- New settings while it runs
+
+    /** An op that is open over a switch, forth and back: the stricter of old and new holds for it. */
+    @ParameterizedTest
+    @CsvSource({"IDEMPOTENT_THEN_ONCE, ERROR, DEAD_LETTER", "ONCE_THEN_IDEMPOTENT, ERROR, DEAD_LETTER",
+        "ONCE_THEN_IDEMPOTENT, CONNECT_FAILED, PUSH", "FORTH_AND_BACK, ERROR, PUSH", "FEWER_PUSHES, ERROR, NACK",
+        "FEWER_PUSHES, CONNECT_FAILED, NACK"})
+    void theStricterHoldsForAnOpenOp(String how, Outcome outcome, Decision.Kind then) {
+        Sidecar s = Sidecar.with("a", "b", "c");
+        s.traffic(40, "a");
+        List<Category> other = List.of(Sidecar.category("read", Effect.AT_MOST_ONCE, Group.ALL),
+                Sidecar.category("once", Effect.REDELIVERABLE, Group.ALL));
+        long op = s.arrive(how.startsWith("ONCE") ? "once" : "read");
+        s.settings(how.equals("FEWER_PUSHES") ? new PushRule(1, false, true) : Sidecar.PUSHES, true,
+                how.equals("FEWER_PUSHES") ? Sidecar.CATEGORIES : other);
+        if (how.equals("FORTH_AND_BACK")) {
+            s.settings(Sidecar.PUSHES, false, Sidecar.CATEGORIES);
+        }
+        s.end(s.of(op), outcome);
+        Decision answer = s.answers.get(op);
+        assertEquals(then, answer == null ? Decision.Kind.PUSH : answer.kind());
+        assertEquals(then == Decision.Kind.PUSH ? 2 : 1, s.pushes.get(op));
+    }
+
+    /** No second copy goes out once copies are forbidden, nor for an op that came in while they were. */
+    @ParameterizedTest
+    @CsvSource({"true, true, 2", "true, false, 1", "false, true, 1"})
+    void copiesGoOnlyWhereOldAndNewAllowThem(boolean old, boolean now, int pushes) {
+        Sidecar s = new Sidecar(new PushRule(4, old, true), false);
+        s.list(true, "a", "b", "c");
+        s.traffic(60, "a");
+        long op = s.arrive("read");
+        s.settings(new PushRule(4, now, true), false, Sidecar.CATEGORIES);
+        s.pass(300);
+        assertEquals(pushes, s.pushes.get(op));
+    }
+
+    /** What was learned stays: an ejected endpoint is out after a switch too, and after the way back. */
+    @Test
+    void healthIsKeptOverASwitch() {
+        Sidecar s = ejected();
+        s.settings(new PushRule(3, false, true), true, Sidecar.CATEGORIES);
+        assertEquals(0, s.traffic(15, "a"));
+        s.settings(Sidecar.PUSHES, false, Sidecar.CATEGORIES);
+        assertEquals(0, s.traffic(10, "a"));
+    }
 }
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -10,6 +10,11 @@
     static final ColdRule COLD = new ColdRule(0.3, 8_000_000, 3, 1_500_000);
     static final PushRule PUSHES = new PushRule(4, true, true);
 
+    static final List<Category> CATEGORIES = List.of(
+            category("read", Effect.REDELIVERABLE, Group.ALL), category("cell", Effect.DEDUPLICATED, Group.CELL),
+            category("zone", Effect.DEDUPLICATED, Group.ZONE), category("any", Effect.DEDUPLICATED, Group.ALL),
+            category("once", Effect.AT_MOST_ONCE, Group.ALL));
+
     /** A push that is out. */
     record Sent(long op, int number, String endpoint, long atMs, long untilMs) {
     }
@@ -19,6 +24,7 @@
     final List<Sent> sent = new ArrayList<>();
     final Map<Long, Decision> answers = new HashMap<>();
     final List<Long> listens = new ArrayList<>();
+    final List<String> released = new ArrayList<>();
     final Map<Long, Long> due = new HashMap<>(); // when the client gives up, which ends what is out
     final Map<Sent, Outcome> ends = new HashMap<>();
     final Map<Long, Integer> pushes = new HashMap<>();
@@ -32,10 +38,7 @@
     }
 
     Sidecar(PushRule rule, boolean mustAsk, String zone, int me, int sidecars, Tenant... tenants) {
-        logic = new Logic(7 + me, zone, me, sidecars, List.of(
-                category("read", Effect.REDELIVERABLE, Group.ALL), category("cell", Effect.DEDUPLICATED, Group.CELL),
-                category("zone", Effect.DEDUPLICATED, Group.ZONE), category("any", Effect.DEDUPLICATED, Group.ALL),
-                category("once", Effect.AT_MOST_ONCE, Group.ALL)), List.of(tenants), COLD, rule, false, mustAsk, 10_000_000,
+        logic = new Logic(7 + me, zone, me, sidecars, CATEGORIES, List.of(tenants), COLD, rule, false, mustAsk, 10_000_000,
                 1_000_000, 0.03, false);
     }
 
@@ -52,18 +55,25 @@
         return s;
     }
 
-    private static Category category(String name, Effect effect, Group group) {
+    /** New settings for one that runs. */
+    void settings(PushRule rule, boolean live, List<Category> categories) {
+        logic.settings(nowMs * 1000, "east", 0, 3, categories, List.of(), COLD, rule, false, false, 10_000_000, 1_000_000,
+                0.03, live);
+        pull();
+    }
+
+    static Category category(String name, Effect effect, Group group) {
         return new Category(name, effect, group, 1_000_000, 400_000, 1);
     }
 
-    /** Endpoints as {@code id:health:cell:zone:startedMs}, all but the id optional. */
+    /** Endpoints as {@code id:health:cell:zone:startedMs:weight}, all but the id optional. */
     void list(boolean whole, String... endpoints) {
         List<Endpoint> entries = new ArrayList<>();
         for (String text : endpoints) {
             String[] p = text.split(":");
             entries.add(new Endpoint(p[0], p.length > 1 ? Health.valueOf(p[1]) : Health.UP,
                     p.length > 4 ? Long.parseLong(p[4]) * 1000 : 0, p.length > 2 ? Integer.parseInt(p[2]) : 1,
-                    p.length > 3 ? p[3] : "east", "", 1));
+                    p.length > 3 ? p[3] : "east", "", p.length > 5 ? Double.parseDouble(p[5]) : 1));
         }
         logic.list(nowMs * 1000, whole, entries);
         pull();
@@ -161,7 +171,7 @@
                         throw new AssertionError("answered twice: " + d);
                     }
                 }
-                case RELEASE -> { }
+                case RELEASE -> released.add(d.endpoint());
                 case WAKE -> wakes.add(nowMs + (d.us() + 999) / 1000);
                 case LISTEN -> listens.add(nowMs);
                 case CANCEL -> cancelled.addAll(out.stream().filter(p -> p.op() == d.op() && p.number() == d.push())
--- a/src/test/java/dillcross/config/GivenTest.java
+++ b/src/test/java/dillcross/config/GivenTest.java
@@ -31,6 +31,18 @@
         "{\"settings\":{\"categories\":[]}}!settings.categories",
         "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"limits\":{\"cancel\":\"maybe\"}}}!settings.limits.cancel",
         "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"limits\":{\"connect_timeout_ms\":-5}}}!settings.limits.connect_timeout_ms",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\",\"effect\":\"sometimes\"}]}}!settings.categories.0.effect",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\",\"key_scope\":\"rack\"}]}}!settings.categories.0.key_scope",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"weight_source\":\"lively\"}}!settings.weight_source",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"weight_source\":{\"is\":1}}}!settings.weight_source",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"discovery\":\"push\"}}!settings.discovery",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"benefit_basis\":\"time\"}}!settings.benefit_basis",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"balancers\":0}}!settings.balancers",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"me\":1.5}}!settings.me",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"limits\":7}}!settings.limits",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"limits\":{\"max_pushes\":0}}}!settings.limits.max_pushes",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"rules\":{\"start_capacity\":1.2}}}!settings.rules.start_capacity",
+        "{\"settings\":{\"categories\":[{\"name\":\"a\"}],\"tenants\":[{\"quota_per_s\":5}]}}!settings.tenants.0.name",
         "{\"seed\":\"xyz\"}!seed", "{\"limits\":{\"sockets\":3}}!limits.sockets", "{!c.json"})
     void aFaultNamesItsKey(String json, String key) {
         var fault = assertThrows(FaultyKey.class, () -> {
