--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -657,6 +657,59 @@
         assertEquals(1, a.accepted.get(), "nor did it lose a connection");
     }
 
+    /** How many ops with such a path endpoints were sent; none of them twice. */
+    private static long sentOnce(String path, StandIn... endpoints) {
+        List<String> ids = new ArrayList<>();
+        for (StandIn endpoint : endpoints) {
+            synchronized (endpoint.requests) {
+                endpoint.requests.stream().filter(r -> r.contains(" " + path + " "))
+                        .forEach(r -> ids.add(r.replaceAll("(?si).*request-id: *(\\S+).*", "$1")));
+            }
+        }
+        assertEquals(ids.size(), ids.stream().distinct().count(), "sent twice: " + ids);
+        return ids.size();
+    }
+
+    /** Settings are switched with ops in flight, forth and back: each op has one answer, none runs twice. */
+    @Test
+    void newSettingsAreTakenOnForthAndBack() throws Exception {
+        String pay = "{\"name\":\"pay\",\"effect\":\"at_most_once\",\"target_latency_ms\":400,\"ttl_ms\":2000},";
+        start(entry("a", "in_service", a.address()) + "," + entry("b", "in_service", b.address()),
+                "\"categories\":[", "\"categories\":[" + pay);
+        awaitReady();
+        String was = Files.readString(folder.resolve("config.json"));
+        String is = was.replace("\"name\":\"read\"", "\"name\":\"view\"").replace("\"may_duplicate\":true", "\"may_duplicate\":false")
+                .replace("\"locality\"", "\"weight_source\":\"live\",\"discovery\":\"automatic\",\"locality\"");
+        long sent = 0;
+        for (int round = 0; round < 2; round++) {
+            List<Socket> open = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                open.add(connect());
+                String path = i % 2 == 0 ? "/pay/slow" : round == 0 ? "/read/slow" : "/view/slow";
+                open.get(i).getOutputStream().write(op(path, 2000).replace("POST /view", "GET /view")
+                        .replaceAll("(?s)(GET /view.*)Idempotency-Key.*", "$1\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            }
+            while (sentOnce("/pay/slow", a, b) <= sent) { // one at the least is in flight at the switch
+                Thread.sleep(5);
+            }
+            hangUp(round == 0 ? was : is, round == 0 ? is : was);
+            awaitLine("settings are new");
+            for (Socket socket : open) {
+                assertTrue(List.of("200", "502", "503").contains(status(message(socket.getInputStream()))), "one answer each");
+                assertEquals(0, socket.getInputStream().available(), "and no more");
+            }
+            sent = sentOnce("/pay/slow", a, b);
+            assertEquals(round == 0 ? "404" : "200", status(ask(connect(), op("/read/ok", 2000))), "the category that went, or came back");
+            assertEquals("200", status(ask(connect(), op("/pay/ok", 2000))));
+        }
+        hangUp("\"idempotent\"", "\"sometimes\"");
+        awaitLine("effect: unknown word: sometimes");
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))), "a faulty file changes nothing");
+        Files.writeString(folder.resolve("config.json"), was);
+        hangUp("\"sockets\":256", "\"sockets\":300");
+        awaitLine("settings stay; discovery stays at " + discovery.address() + "; changed, and taken up at the next start only: limits");
+    }
+
     @Test
     void aFaultyKeyIsNamed() throws Exception {
         start(entry("a", "in_service", a.address()), "\"ask_within_ms\":600", "\"ask_within_ms\":\"often\"");
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -201,4 +201,31 @@
             pull();
         }
     }
+
+    /** With new settings less is in use: the connections of what is not are let go. */
+    @Test
+    void whatIsNotInUseIsForgotten() {
+        List<Listed> all = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            all.add(listed("e" + i, Health.UP, "h:" + i));
+        }
+        core.list(now, 1, true, all.subList(0, 1), false);
+        push("read");
+        core.settings(now, (logic, us) -> logic.settings(us, "east", 3, 100, List.of(new Category("read",
+                Effect.REDELIVERABLE, Group.ALL, 0, 400_000, 1)), List.of(), new ColdRule(0.3, 1_000_000, 3, 1_000_000),
+                new PushRule(3, true, true), false, true, 10_000_000, 1_000_000, 0, true));
+        core.list(now, 2, false, all.subList(1, 8), false);
+        List<Order> orders = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            core.arrive(now, "client", "op", null, "read", TTL_US, false);
+            for (Order order : pull()) {
+                orders.add(order);
+                if (order instanceof Order.Push push) {
+                    core.ended(now += 20_000, push.op(), push.push(), new Ending(Ending.Kind.ACKED, Reach.WHOLE_WRITTEN, ""));
+                }
+            }
+            pass(200_000);
+        }
+        assertEquals(List.of("e0"), only(Order.Forget.class, orders).stream().map(Order.Forget::endpoint).distinct().toList());
+    }
 }
