--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -4,9 +4,9 @@
 import java.util.*;
 
 /**
- * Every decision of one sidecar. How to call it: tell it what happened (list, listFailed, arrive, ended,
- * streaming, left, woken), each with the clock in whole microseconds; these only note what is known. Then
- * pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is these methods
+ * Every decision of one sidecar. How to call it: tell it what happened (settings, list, listFailed, arrive,
+ * ended, streaming, left, woken), each with the clock in whole microseconds; these only note what is known.
+ * Then pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is these methods
  * and the types of {@code dillcross.model}.
  *
  * <p>The design decides the ordinary path: five failures in a row eject an endpoint, a jittered penalty ends
@@ -16,7 +16,7 @@
  * <li>Cold cap: a fresh or returned endpoint gets pushes as its answers and our part of its budget allow.
  * <li>Silence: an overdue push counts as a failure before its TTL, and its age lifts the latency.
  * <li>Further pushes: second copies and retries on a budget that grows with first pushes.
- * <li>Admission: a bound on what is in flight, by Little's law; a short wait, then a nack.
+ * <li>Admission: a bound on what is in flight, by Little's law and an op's worth; a short wait, then a nack.
  * <li>Part failures: a smoothed failure share ejects as a run does.
  * <li>Fairness: ops wait by benefit, and by what their category and tenant got of what they may.
  * </ol>
@@ -36,7 +36,7 @@
     private static final double FADE_US = 4_000_000; // of the arrivals by which tenants are compared
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
-    private static final double QUEUE = 2.25; // times what is in flight without a queue, while calm
+    private static final double QUEUE = 3.6; // times what is in flight without a queue, while calm
     private static final double REPEAT = 0.4; // of a first try's part of the bound, for a repeat
     private static final long UNUSED_US = 2_000_000; // before connections to what is not in use are let go
     private static final double RENEWAL = 0.2; // of a renewed weight in what an endpoint seems to hold
@@ -127,7 +127,6 @@
         boolean listed;
         final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave at the head
         int flying;
-        double[] pace; // of its machine kind
         double slowness = 1; // smoothed latency over the mean of the category
         int heard; // latencies in it
         long holdUs; // it said full: nothing goes there until then
@@ -225,7 +224,6 @@
     private double due; // of them within the shares of their tenants
     private long fadedUs;
     private final Map<String, Server> servers = new LinkedHashMap<>();
-    private final Map<String, double[]> paces = new HashMap<>(); // slowness of a machine kind, from all of it
     private final List<Server> in = new ArrayList<>(); // up and not ejected, or all that are up
     private final List<Server> near = new ArrayList<>(); // those of them in our own zone that we use
     private final List<Server> far = new ArrayList<>(); // and those of the next
@@ -325,8 +323,7 @@
                     || e.cell() != was.cell() || !e.zone().equals(was.zone())
                     || !live && e.weight() != was.weight();
             if (e.startedUs() > was.startedUs() || was == e) { // a new process: nothing old holds
-                s.pace = paces.computeIfAbsent(e.machine(), m -> new double[] {1});
-                s.slowness = s.pace[0];
+                s.slowness = 1;
                 s.heard = 0;
                 chill(s, e.startedUs());
             }
@@ -481,7 +478,6 @@
         // Hardly anything in flight and still slow: that is no queue of ours, less load would not mend it.
         kind.answered(tookUs, flying <= Math.max(1, 0.5 * in.size() / sidecars) ? 0.05 : 0.0001);
         double ratio = Math.min(20, tookUs / kind.meanUs);
-        s.pace[0] += 0.05 * (Math.min(5, ratio) - s.pace[0]);
         s.slowness += Math.max(SMOOTH, 1.0 / (2 + s.heard++)) * (ratio - s.slowness); // the first weigh more
         s.fulls = 0;
         slow(push, tookUs);
@@ -636,7 +632,7 @@
         for (int i = 0, from = (int) (spot * ring.size()); i < ring.size() && far.size() < want; i++) {
             use(zones.remove(ring.get((from + i) % ring.size()).is.zone()), far);
         }
-        largest = ring.stream().mapToDouble(s -> s.size() / s.pace[0]).max().orElse(1);
+        largest = ring.stream().mapToDouble(s -> s.size()).max().orElse(1);
         room = true;
     }
 
@@ -673,7 +669,8 @@
     private double most() {
         double known = heardUs == 0 ? 0 : 1 - Math.exp((heardUs - now) / spanUs);
         double mean = calm.at(0) / Math.max(0.2, known);
-        return Math.max((known < 0.6 ? FIRST_LIMIT : 1) * in.size() / sidecars, QUEUE / slowed * mean);
+        double least = (known < 0.6 ? FIRST_LIMIT : 1) * in.size() / sidecars;
+        return Math.max(least, QUEUE / Math.pow(Math.max(1, slowed), 3) * mean);
     }
 
     /** In flight and not silent; two an endpoint may be, so that a silent fleet stays bounded. */
@@ -748,7 +745,7 @@
     private Server draw(Op op, List<Server> from) {
         Server s = null;
         for (int i = 0; i < 5 && !from.isEmpty(); i++) { // more often the larger: what we see tells it late
-            boolean other = s == null || random.nextDouble() * largest > s.size() / s.pace[0];
+            boolean other = s == null || random.nextDouble() * largest > s.size();
             s = other ? from.get(random.nextInt(from.size())) : s;
         }
         return s != null && usable(op, s) ? s : null;
--- a/src/main/java/dillcross/model/Endpoint.java
+++ b/src/main/java/dillcross/model/Endpoint.java
@@ -2,9 +2,9 @@
 
 /**
  * An endpoint as the list names it. {@code startedUs} is 0 for long ago; {@code weight} compares it with the others: its
- * size, which the settings may say is lowered by what it holds. Those of one {@code machine} kind are alike.
+ * size, which the settings may say is lowered by what it holds.
  */
-public record Endpoint(String id, Health health, long startedUs, int cell, String zone, String machine, double weight) {
+public record Endpoint(String id, Health health, long startedUs, int cell, String zone, double weight) {
     /** What the list knows of it. */
     public enum Health { UP, DRAINING, GONE }
 }
--- a/src/main/java/dillcross/net/Rehearsal.java
+++ b/src/main/java/dillcross/net/Rehearsal.java
@@ -27,7 +27,7 @@
         Core core = new Core(logic);
         List<Listed> list = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
-            list.add(new Listed(new Endpoint("e" + i, Health.UP, 0, i % 2, "", "", 1), "none"));
+            list.add(new Listed(new Endpoint("e" + i, Health.UP, 0, i % 2, "", 1), "none"));
         }
         core.list(1, 1, true, list, false);
         Ring ring = new Ring(1 << 17, new Budget(1 << 20));
--- a/src/main/java/dillcross/net/Roster.java
+++ b/src/main/java/dillcross/net/Roster.java
@@ -37,7 +37,7 @@
             };
             double weight = number(server, "weight", 1);
             entries.add(new Listed(new Endpoint(id, health, (long) (number(server, "started_ms", 0) * 1000),
-                    (int) number(server, "cell", 0), text(server, "zone"), text(server, "kind"), weight > 0 ? weight : 1),
+                    (int) number(server, "cell", 0), text(server, "zone"), weight > 0 ? weight : 1),
                     text(server, "addr")));
         }
         return new Roster((long) number(map, "version", 0), !Boolean.FALSE.equals(map.get("full")), entries);
--- a/src/main/java/dillcross/simhost/Host.java
+++ b/src/main/java/dillcross/simhost/Host.java
@@ -168,7 +168,7 @@
             if (line == null || !f.text().equals("row")) {
                 throw f.malformed("a row of the list is missing", null);
             }
-            String machine = f.textOrNull();
+            f.textOrNull();
             String id = f.text();
             long started = f.micros(0);
             String health = f.text();
@@ -177,7 +177,7 @@
             String zone = f.textOrNull();
             entries.add(new Endpoint(id, health.equals("up") ? Health.UP
                     : health.equals("draining") ? Health.DRAINING : Health.GONE, started, cell,
-                    zone == null ? "" : zone, machine == null ? "" : machine, weight > 0 ? weight : 1));
+                    zone == null ? "" : zone, weight > 0 ? weight : 1));
         }
         return entries;
     }
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -79,7 +79,7 @@
             String[] p = text.split(":");
             entries.add(new Endpoint(p[0], p.length > 1 ? Health.valueOf(p[1]) : Health.UP,
                     p.length > 4 ? Long.parseLong(p[4]) * 1000 : 0, p.length > 2 ? Integer.parseInt(p[2]) : 1,
-                    p.length > 3 ? p[3] : "east", "", p.length > 5 ? Double.parseDouble(p[5]) : 1));
+                    p.length > 3 ? p[3] : "east", p.length > 5 ? Double.parseDouble(p[5]) : 1));
         }
         logic.list(nowMs * 1000, whole, entries);
         pull();
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -31,7 +31,7 @@
     private boolean restless; // the network reports a given-up push at once, unless this is set
 
     private static Listed listed(String id, Health health, String address) {
-        return new Listed(new Endpoint(id, health, 0, 1, "east", "", 1), address);
+        return new Listed(new Endpoint(id, health, 0, 1, "east", 1), address);
     }
 
     private List<Order> pull() {
@@ -137,7 +137,7 @@
     void whatLeavesMovesOrBeginsAnewIsForgotten(String id, Health health, String address, long startedUs, boolean whole, String forgotten) {
         core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
         pull();
-        core.list(now, 2, whole, List.of(new Listed(new Endpoint(id, health, startedUs, 1, "east", "", 1), address)), false);
+        core.list(now, 2, whole, List.of(new Listed(new Endpoint(id, health, startedUs, 1, "east", 1), address)), false);
         assertEquals(forgotten, String.join(" ", only(Order.Forget.class, pull()).stream().map(Order.Forget::endpoint).toList()));
     }
 
