--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -95,8 +95,11 @@
     private void between(Runnable change) throws InterruptedException {
         CountDownLatch made = new CountDownLatch(1);
         changes.add(() -> {
-            change.run();
-            made.countDown();
+            try {
+                change.run();
+            } finally {
+                made.countDown(); // a fault in it is logged by the turn, and must not hold later reloads
+            }
         });
         loop.wake();
         made.await();
