--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -39,6 +39,9 @@
         Given read = Given.file(file, System.getenv());
         address(read, "listen");
         address(read, "discovery");
+        if (read.has("admin_addr")) {
+            address(read, "admin_addr");
+        }
         known(read);
         Given settings = read.below("settings");
         settings.instance(read.seed(), ASKS);
@@ -76,6 +79,8 @@
         }
         Node node = new Node(core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
                 settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()));
+        node.open(given.has("admin_addr") ? address(given, "admin_addr") : null);
+        Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop();
@@ -83,7 +88,6 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
-        Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         node.start(address(given, "listen"));
         node.awaitReady();
         while (!check) { // the end comes by a signal
@@ -111,7 +115,7 @@
                             settings.mostTtlUs(), settings.connectUs(), settings.keepUs(), settings.watchMs());
                 }
             });
-            String later = List.of("name", "listen", "limits").stream()
+            String later = List.of("name", "listen", "admin_addr", "limits").stream()
                     .filter(key -> !next.same(given, key)).collect(Collectors.joining(", "));
             LOG.info("configuration read again; settings " + (changed ? "are new" : "stay") + "; discovery "
                     + (to.equals(from) ? "stays at " : "is now at ") + to
--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -241,6 +241,10 @@
         }
     }
 
+    public boolean has(String path) {
+        return text(path, null) != null;
+    }
+
     /** What has to be there. */
     public String needed(String path) {
         String value = text(path, null);
--- /dev/null
+++ b/src/main/java/dillcross/net/Door.java
@@ -0,0 +1,99 @@
+package dillcross.net;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.logging.Logger;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * The operators' door, at an address of its own: one call a connection. It has room of its own too, so a crowd of clients
+ * can't shut it, and callers that finish no call give way to the next.
+ */
+final class Door extends BaseFilter {
+    static final int MOST = 8; // connections, descriptors set aside for them
+    private static final long CALL_US = 5_000_000; // that one may stay
+    private static final Logger LOG = Logger.getLogger(Door.class.getName());
+
+    private final Life life;
+    private final LongSupplier clock;
+    private final Budget budget = new Budget(MOST * 64L << 10);
+    private final Set<Link> links = new LinkedHashSet<>(); // the oldest first
+
+    Door(Life life, LongSupplier clock) {
+        this.life = life;
+        this.clock = clock;
+    }
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+        Link link = new Link((NIOConnection) ctx.getConnection(), true, budget);
+        link.connected = true;
+        link.idleUs = clock.getAsLong();
+        links.add(link);
+        if (links.size() > MOST) {
+            links.iterator().next().close();
+        }
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        Link link = Link.of(ctx.getConnection());
+        links.remove(link);
+        link.free();
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) {
+        Link link = Link.of(ctx.getConnection());
+        if (link.ended) {
+            link.close();
+        } else {
+            Message answer = ctx.getMessage() instanceof Message call ? answer(call)
+                    : Message.answer((Integer) ctx.getMessage(), "malformed call");
+            answer.fields().put("connection", "close");
+            link.closing = true;
+            link.connection.write(answer);
+        }
+        return ctx.getStopAction();
+    }
+
+    private Message answer(Message call) {
+        String path = call.target();
+        String method = switch (path) {
+            case Names.READY_PATH -> "GET";
+            case Names.DRAIN_PATH, Names.RESUME_PATH -> "POST";
+            default -> null;
+        };
+        if (method == null) {
+            return Message.answer(404, "unknown call");
+        }
+        if (!call.first().equals(method)) {
+            return Message.notAllowed(method);
+        }
+        if (path.equals(Names.READY_PATH)) {
+            return life.able() ? Message.answer(200, "ready") : Message.answer(503, "not ready");
+        }
+        boolean drain = path.equals(Names.DRAIN_PATH);
+        if (drain) {
+            life.drain(clock.getAsLong());
+        } else {
+            life.resume();
+        }
+        LOG.info(drain ? "drain: clients are to go elsewhere" : "resume: the drain is over");
+        return Message.answer(200, drain ? "draining" : "resumed");
+    }
+
+    /** Closes who has stayed for too long. */
+    void sweep(long nowUs) {
+        for (Link link; !links.isEmpty() && nowUs - (link = links.iterator().next()).idleUs > CALL_US;) {
+            links.remove(link);
+            link.close();
+        }
+    }
+}
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -41,11 +41,11 @@
     private TCPNIOServerConnection server;
     private boolean paused;
     private long loggedUs;
-    private boolean ready;
-    private boolean draining;
+    private final Life life;
 
-    Listener(Core core, LongSupplier clock, int most, Budget budget) {
+    Listener(Core core, Life life, LongSupplier clock, int most, Budget budget) {
         this.core = core;
+        this.life = life;
         this.clock = clock;
         this.most = most;
         this.budget = budget;
@@ -61,10 +61,6 @@
         server = on;
     }
 
-    void ready() {
-        ready = true;
-    }
-
     // ---- Connections
 
     @Override
@@ -161,11 +157,9 @@
 
     private void request(Link link, Message request) {
         link.asked++;
-        String target = request.second();
-        int query = target.indexOf('?');
-        String path = query < 0 ? target : target.substring(0, query);
+        String path = request.target();
         if (path.equals(Names.HEALTH_PATH)) {
-            boolean up = ready && !draining;
+            boolean up = life.healthy();
             answer(link, request, Message.answer(up ? 200 : 503, up ? "ready" : "not ready"));
             return;
         }
@@ -178,9 +172,7 @@
         String method = category.effect() == Effect.REDELIVERABLE ? "GET" : "POST";
         String fault = fault(request, category);
         if (!request.first().equals(method)) {
-            Message answer = Message.answer(405, "only " + method + " is served here");
-            answer.fields().put("allow", method);
-            reject(link, answer);
+            reject(link, Message.notAllowed(method));
         } else if (fault != null) {
             reject(link, Message.answer(400, fault));
         } else {
@@ -243,7 +235,7 @@
     private void answer(Link link, Message request, Message answer) {
         rests(link);
         // Who asks once and stays would hold its place for good; told so with the answer, no next request crosses the close.
-        link.closing = draining || !request.keepsAlive() || crowded() && link.asked < 2;
+        link.closing = life.leaving() || !request.keepsAlive() || crowded() && link.asked < 2;
         write(link, answer);
         pause(false); // it may make room now
         if (!link.closing && link.in.size() > 0) {
@@ -276,16 +268,6 @@
 
     // ---- The end
 
-    /** From now on each answer closes its connection, and so do connections that carry nothing. */
-    void drain() {
-        draining = true;
-        for (Link link : List.copyOf(links)) {
-            if (idle(link)) {
-                link.close();
-            }
-        }
-    }
-
     void stopAccepting() {
         if (server != null) {
             server.closeSilently();
@@ -301,13 +283,15 @@
      * closed: a slow client would use up the limit.
      */
     void sweep(long nowUs) {
+        boolean lettingGo = life.lettingGo(nowUs);
         for (Link link : List.copyOf(links)) {
             boolean waits = link.user != null || idle(link) && link.asked > 0;
             // The first request counts from connecting, a later one from its first byte.
+            long mayRestUs = lettingGo ? link.asked > 0 ? 0 : NEW_US : crowded() ? RECENT_US : IDLE_US;
             link.partialUs = waits ? 0 : link.partialUs > 0 ? link.partialUs : link.asked == 0 ? link.idleUs : nowUs;
             boolean late = !waits && nowUs - link.partialUs > BRING_US;
             if (link.closing ? nowUs - link.idleUs > LINGER_US : late && !link.partial()
-                    || idle(link) && nowUs - link.idleUs > (crowded() ? RECENT_US : IDLE_US)) {
+                    || idle(link) && nowUs - link.idleUs > mayRestUs) {
                 link.close();
             } else if (late && !link.closing) {
                 reject(link, Message.answer(408, "the request did not come whole in time"));
--- a/src/main/java/dillcross/net/Message.java
+++ b/src/main/java/dillcross/net/Message.java
@@ -25,6 +25,18 @@
                 (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
+    static Message notAllowed(String method) {
+        Message answer = answer(405, "only " + method + " is served here");
+        answer.fields().put("allow", method);
+        return answer;
+    }
+
+    /** Of a request: what it asks for, without the query. */
+    String target() {
+        int query = second.indexOf('?');
+        return query < 0 ? second : second.substring(0, query);
+    }
+
     int status() {
         return Integer.parseInt(second);
     }
--- a/src/main/java/dillcross/net/Names.java
+++ b/src/main/java/dillcross/net/Names.java
@@ -11,6 +11,9 @@
     static final String LOAD = "server-load";
     static final String TENANT = "tenant";
     static final String HEALTH_PATH = "/healthz";
+    static final String READY_PATH = "/-/ready";
+    static final String DRAIN_PATH = "/-/drain";
+    static final String RESUME_PATH = "/-/resume";
 
     private Names() {
     }
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -6,6 +6,7 @@
 import dillcross.sidecar.Order;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
@@ -16,7 +17,9 @@
 import java.util.function.ObjLongConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.glassfish.grizzly.filterchain.Filter;
 import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -32,6 +35,7 @@
     private static final int SPARE_DESCRIPTORS = 48; // files, selector, listening socket, list, and what closes
     private static final long ACCEPT_US = 500_000; // after the order to stop, new connections still come
     private static final long QUIET_US = 150_000;
+    private static final long SWEEP_US = 200_000;
 
     private final Core core;
     private final LongSupplier clock;
@@ -42,13 +46,13 @@
     private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch done = new CountDownLatch(1);
     private final Loop loop = new Loop(this::look, this::turn, this::dueInUs);
-    private volatile boolean stop;
+    private final Life life = new Life(); // the selector thread's alone
+    private final Door door = new Door(life, this::now);
     private volatile long mostTtlUs; // of all settings so far: an op may be open from any of them
     private final Queue<Runnable> changes = new ConcurrentLinkedQueue<>(); // to carry out between two turns
     private volatile String self; // our own address, once we listen
     private final long startedUs;
     private long rehearsed;
-    private long stopUs; // when it was asked to stop; 0 while it was not
     private long sweptUs;
     private int faults;
     private long now; // the clock when this turn began to gather
@@ -68,7 +72,7 @@
         Budget budget = new Budget(Runtime.getRuntime().maxMemory() / 4);
         // Clients need more: some ask once and stay, some say nothing; an endpoint's connection serves one op after another.
         int third = (descriptors - SPARE_DESCRIPTORS) / 3;
-        listener = new Listener(core, this::now, 2 * third, budget);
+        listener = new Listener(core, life, this::now, 2 * third, budget);
         endpoints = new Endpoints(transport, core, this::now, third, budget);
         discovery = new Discovery(transport, core, this::now, discoveryAddress, budget);
         limits(categories, mostTtlUs, connectUs, keepUs, watchMs);
@@ -104,10 +108,21 @@
         made.await();
     }
 
-    public void start(InetSocketAddress listen) throws IOException {
+    /** Begins to turn, and opens the operators' door if they have one: they may ask from the first moment on. */
+    public void open(InetSocketAddress doorAt) throws IOException {
         transport.start();
-        transport.setProcessor(HttpFilter.chain(true, listener));
-        TCPNIOServerConnection server = transport.bind(listen, BACKLOG);
+        if (doorAt != null) {
+            SocketAddress at = bind(doorAt, door).getLocalAddress();
+            LOG.info(() -> "operators' door on " + at.toString().substring(1));
+        }
+    }
+
+    private TCPNIOServerConnection bind(InetSocketAddress at, Filter top) throws IOException {
+        return TCPNIOBindingHandler.builder(transport).processor(HttpFilter.chain(true, top)).build().bind(at, BACKLOG);
+    }
+
+    public void start(InetSocketAddress listen) throws IOException {
+        TCPNIOServerConnection server = bind(listen, listener);
         listener.serve(server);
         InetSocketAddress own = (InetSocketAddress) server.getLocalAddress();
         self = own.getAddress().getHostAddress() + ":" + own.getPort();
@@ -134,7 +149,7 @@
         }
         if (enough) {
             endpoints.forget(self);
-            listener.ready();
+            life.ready(now);
             ready.countDown();
             LOG.info(() -> "ready on " + self + " after " + (now - startedUs) / 1000 + " ms");
         }
@@ -148,7 +163,10 @@
 
     /** Stops accepting when new connections have ceased to come, answers what it has taken, then is done. */
     public void stop() throws InterruptedException {
-        stop = true;
+        changes.add(() -> {
+            life.stop(now);
+            LOG.info("stopping");
+        });
         loop.wake();
         done.await(mostTtlUs + 2 * ACCEPT_US, TimeUnit.MICROSECONDS); // the loop may not have started
     }
@@ -163,7 +181,7 @@
 
     private long dueInUs() {
         long due = Math.min(core.dueUs(), Math.min(endpoints.dueUs(), discovery.dueUs()));
-        return Math.min(due - clock.getAsLong(), stopUs > 0 ? 5_000 : 200_000);
+        return Math.min(due - clock.getAsLong(), life.stopping() ? 5_000 : SWEEP_US);
     }
 
     private void turn() {
@@ -180,11 +198,12 @@
             if (ready.getCount() > 0) {
                 rehearse();
             }
-            if (now - sweptUs > 200_000) {
+            if (now - sweptUs >= SWEEP_US) {
                 sweptUs = now;
                 listener.sweep(now);
+                door.sweep(now);
             }
-            if (stop) {
+            if (life.stopping()) {
                 wind();
             }
         } catch (RuntimeException broken) {
@@ -225,18 +244,15 @@
     }
 
     private void wind() {
-        if (stopUs == 0) {
-            stopUs = now;
-            LOG.info("stopping");
-            listener.drain();
-        }
-        if (now - stopUs > ACCEPT_US) {
+        long forUs = life.stoppingForUs(now);
+        if (forUs > ACCEPT_US) {
             if (accepting) {
                 accepting = false;
                 listener.stopAccepting();
+                listener.sweep(now);
             }
-            boolean quiet = now - stopUs > ACCEPT_US + QUIET_US; // a request may be on its way to us still
-            if (quiet && core.open() == 0 && listener.drained() || now - stopUs > mostTtlUs + ACCEPT_US + QUIET_US) {
+            boolean quiet = forUs > ACCEPT_US + QUIET_US; // a request may be on its way to us still
+            if (quiet && core.open() == 0 && listener.drained() || forUs > mostTtlUs + ACCEPT_US + QUIET_US) {
                 done.countDown();
             }
         }
