--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -624,7 +624,11 @@
     private void hangUp(String was, String is) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, Files.readString(file).replace(was, is));
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor());
+        signal("HUP");
+    }
+
+    private void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor());
     }
 
     private void awaitLine(String part) throws IOException {
@@ -810,7 +814,7 @@
         assertEquals("200", status(ask(idle, op("/read/ok", 2000))));
         Socket busy = connect();
         begin(busy, op("/buy/slow", 2000), "/buy/slow");
-        process.destroy(); // SIGTERM
+        signal("TERM"); // destroy() would close the log
         awaitLine("stopping");
         String late = ask(connect(), op("/read/ok", 2000));
         assertEquals("200", status(late), "a new connection is still served");
