--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -36,6 +36,7 @@
 @Timeout(60)
 class ServeIT {
     private static final String BODY = "caf\u00e9 \u0001 body";
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
     private final List<AutoCloseable> toClose = new ArrayList<>();
     @TempDir
     private Path folder;
@@ -770,7 +771,6 @@
     @Test
     void aDrainEmptiesAndAResumeTakesBack() throws Exception {
         servingWithDoor();
-        String health = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
         for (int round = 0; round < 2; round++) {
             Socket idle = connect();
             assertEquals("200", status(ask(idle, op("/read/ok", 2000))));
@@ -780,7 +780,7 @@
             begin(busy, op("/buy/slow" , 2000), "/buy/slow");
             assertEquals("200", status(call("POST /-/drain")));
             assertEquals("200", status(call("POST /-/drain")), "twice is once");
-            assertEquals("503", status(ask(connect(), health)));
+            assertEquals("503", status(ask(connect(), HEALTH)));
             assertEquals("200", status(call("GET /-/ready")), "it can serve, and does");
             for (Socket late : List.of(connect(), kept)) {
                 String answer = ask(late, op("/read/ok", 2000));
@@ -790,7 +790,7 @@
             assertEquals("200", status(message(busy.getInputStream())), "what was open is answered");
             assertEquals(-1, idle.getInputStream().read(), "nothing idle is held");
             assertEquals("200", status(call("POST /-/resume")));
-            assertEquals("200", status(ask(connect(), health)));
+            assertEquals("200", status(ask(connect(), HEALTH)));
             String answer = ask(connect(), op("/read/ok", 2000));
             assertTrue(status(answer).equals("200") && !answer.contains("connection: close"), answer);
         }
@@ -814,8 +814,10 @@
         assertEquals("200", status(ask(idle, op("/read/ok", 2000))));
         Socket busy = connect();
         begin(busy, op("/buy/slow", 2000), "/buy/slow");
-        signal("TERM"); // destroy() would close the log
-        awaitLine("stopping");
+        signal("TERM");
+        while (status(ask(connect(), HEALTH)).equals("200")) {
+            Thread.sleep(2); // it has not heard yet
+        }
         String late = ask(connect(), op("/read/ok", 2000));
         assertEquals("200", status(late), "a new connection is still served");
         assertTrue(late.contains("connection: close"), late);
