--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -88,8 +88,7 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
-        node.start(address(given, "listen"));
-        node.awaitReady();
+        node.start(given.has("fd") ? null : address(given, "listen"));
         while (!check) { // the end comes by a signal
             reloads.acquire();
             reloads.drainPermits();
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -268,10 +268,18 @@
 
     // ---- The end
 
-    void stopAccepting() {
-        if (server != null) {
-            server.closeSilently();
+    /** Where another process accepts from the socket too, what is in its queue is left to that one. */
+    void stopAccepting(boolean shared) {
+        try {
+            if (server != null && shared) {
+                server.disableIOEvent(IOEvent.SERVER_ACCEPT);
+            } else if (server != null) {
+                server.closeSilently();
+            }
+        } catch (java.io.IOException closed) {
+            LOG.fine("the listening socket has gone already");
         }
+        server = null; // nothing makes it accept again
     }
 
     boolean drained() {
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -6,7 +6,7 @@
 import dillcross.sidecar.Order;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
@@ -43,20 +43,24 @@
     private final Listener listener;
     private final Endpoints endpoints;
     private final Discovery discovery;
-    private final CountDownLatch ready = new CountDownLatch(1);
+    private final CountDownLatch warm = new CountDownLatch(1);
     private final CountDownLatch done = new CountDownLatch(1);
     private final Loop loop = new Loop(this::look, this::turn, this::dueInUs);
     private final Life life = new Life(); // the selector thread's alone
     private final Door door = new Door(life, this::now);
     private volatile long mostTtlUs; // of all settings so far: an op may be open from any of them
     private final Queue<Runnable> changes = new ConcurrentLinkedQueue<>(); // to carry out between two turns
-    private volatile String self; // our own address, once we listen
+    private String doorIs; // the operators' address; null where they have none
+    private String self; // the address at which it asks itself to get warm; null where there is none
+    private volatile boolean starting; // the two above are set
+    private volatile boolean inherited; // the listening socket: another process may accept from it too
     private final long startedUs;
     private long rehearsed;
     private long sweptUs;
     private int faults;
     private long now; // the clock when this turn began to gather
     private boolean accepting = true;
+    private boolean swept; // at the end of accepting
 
     public Node(Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
             long connectUs, long keepUs, long watchMs, int descriptors) {
@@ -112,8 +116,8 @@
     public void open(InetSocketAddress doorAt) throws IOException {
         transport.start();
         if (doorAt != null) {
-            SocketAddress at = bind(doorAt, door).getLocalAddress();
-            LOG.info(() -> "operators' door on " + at.toString().substring(1));
+            doorIs = text(bind(doorAt, door));
+            LOG.info(() -> "operators' door on " + doorIs);
         }
     }
 
@@ -121,37 +125,56 @@
         return TCPNIOBindingHandler.builder(transport).processor(HttpFilter.chain(true, top)).build().bind(at, BACKLOG);
     }
 
-    public void start(InetSocketAddress listen) throws IOException {
-        TCPNIOServerConnection server = bind(listen, listener);
-        listener.serve(server);
+    private static String text(TCPNIOServerConnection server) {
         InetSocketAddress own = (InetSocketAddress) server.getLocalAddress();
-        self = own.getAddress().getHostAddress() + ":" + own.getPort();
-        loop.wake();
+        return own.getAddress().getHostAddress() + ":" + own.getPort();
     }
 
-    /** Until it has answered for its own health often enough to be warm. */
-    public void awaitReady() throws InterruptedException {
-        ready.await();
+    /** Warms up and serves at that address, or where it is null on the listening socket that this process inherited. */
+    public void start(InetSocketAddress listen) throws IOException, InterruptedException {
+        inherited = listen == null;
+        TCPNIOServerConnection server = null;
+        if (!inherited) {
+            server = bind(listen, listener);
+            listener.serve(server);
+            self = text(server);
+        } else if (System.inheritedChannel() instanceof ServerSocketChannel) {
+            self = doorIs; // through the clients' socket the process before this one would be asked
+        } else {
+            throw new IOException("NODE_FD names no listening socket that can be taken over (descriptor 0)");
+        }
+        starting = true;
+        loop.wake();
+        warm.await();
+        if (inherited) { // only now: what it accepts it has to serve at once
+            server = TCPNIOBindingHandler.builder(transport).processor(HttpFilter.chain(true, listener)).build()
+                    .bindToInherited();
+            listener.serve(server);
+        }
+        String at = text(server);
+        between(() -> {
+            life.ready(now);
+            LOG.info(() -> "ready on " + at + " after " + (now - startedUs) / 1000 + " ms");
+        });
     }
 
     /**
-     * Warms up before the first client comes: asks itself for its health, over real sockets and through every filter.
+     * Warms up before the first client comes: asks itself for its health, or at the door, over real sockets and through every filter.
      * The answers belong to no op, so the core passes them over.
      */
     private void rehearse() {
         boolean enough = rehearsed >= REHEARSALS || now - startedUs > MOST_REHEARSAL_US;
-        if (self == null || !enough && endpoints.busy()) {
+        enough |= self == null;
+        if (!enough && endpoints.busy()) {
             return;
         }
         for (int i = 0; i < 4 && !enough; i++) {
-            Message request = Message.request("GET", Names.HEALTH_PATH, Map.of("host", self), Message.NOTHING);
+            Message request = Message.request("GET", inherited ? Names.READY_PATH : Names.HEALTH_PATH, Map.of("host", self), Message.NOTHING);
             endpoints.push(new Order.Push(-1 - rehearsed++, 0, self, self, request, now + MOST_REHEARSAL_US));
         }
         if (enough) {
             endpoints.forget(self);
-            life.ready(now);
-            ready.countDown();
-            LOG.info(() -> "ready on " + self + " after " + (now - startedUs) / 1000 + " ms");
+            warm.countDown();
         }
     }
 
@@ -195,7 +218,7 @@
             for (Order order; (order = core.next(now)) != null;) {
                 carryOut(order);
             }
-            if (ready.getCount() > 0) {
+            if (starting && warm.getCount() > 0) {
                 rehearse();
             }
             if (now - sweptUs >= SWEEP_US) {
@@ -245,11 +268,14 @@
 
     private void wind() {
         long forUs = life.stoppingForUs(now);
+        if (accepting && (inherited || forUs > ACCEPT_US)) {
+            accepting = false;
+            listener.stopAccepting(inherited);
+        }
         if (forUs > ACCEPT_US) {
-            if (accepting) {
-                accepting = false;
-                listener.stopAccepting();
-                listener.sweep(now);
+            if (!swept) {
+                swept = true;
+                listener.sweep(now); // nothing idle is kept from here on
             }
             boolean quiet = forUs > ACCEPT_US + QUIET_US; // a request may be on its way to us still
             if (quiet && core.open() == 0 && listener.drained() || forUs > mostTtlUs + ACCEPT_US + QUIET_US) {
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -47,6 +47,7 @@
     private BufferedReader log;
     private int port;
     private int door;
+    private List<String> launcher = List.of(); // what starts the program
     private final AtomicInteger ids = new AtomicInteger();
     private int sockets = 256; // the limit that it is told
 
@@ -214,11 +215,15 @@
         Path file = Files.writeString(folder.resolve("config.json"), config);
         Matcher run = Pattern.compile("run = \"exec java (.*) serve\"").matcher(Files.readString(Path.of("deploy/balancer.toml")));
         assertTrue(run.find());
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        List<String> command = new ArrayList<>(launcher);
+        command.add("" + Path.of(System.getProperty("java.home"), "bin", "java"));
         command.addAll(List.of(run.group(1).split(" ")));
         command.add("serve");
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("NODE_CONFIG", file.toString());
+        if (launcher.contains(PLATFORM)) {
+            builder.environment().put("NODE_FD", "0");
+        }
         process = builder.start();
         log = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
     }
@@ -244,6 +249,7 @@
     @AfterEach
     void end() throws Exception {
         if (process != null) {
+            process.descendants().forEach(ProcessHandle::destroyForcibly);
             process.destroyForcibly().waitFor();
         }
         for (AutoCloseable open : toClose) {
@@ -806,6 +812,85 @@
         assertTrue(log.contains(said), log);
     }
 
+    /** Holds the clients' listening socket as a platform does, and starts the program twice on it, the second time once told to. */
+    private static final String PLATFORM = """
+            use Socket; use POSIX ();
+            socket(S, PF_INET, SOCK_STREAM, 0) && bind(S, sockaddr_in(0, INADDR_LOOPBACK)) && listen(S, 1024) or die;
+            my ($port) = sockaddr_in(getsockname(S));
+            POSIX::dup2(fileno(S), 0);
+            $| = 1;
+            my $go = shift;
+            for my $round (1, 2) {
+                my $pid = fork();
+                exec(@ARGV) if $pid == 0;
+                print "pid $pid port $port\n";
+                select(undef, undef, undef, 0.02) until $round == 2 || -e $go;
+            }
+            1 while wait() > 0;
+            """;
+
+    /** Under a steady stream of ops a second process takes over the socket: each op is answered once, none runs twice. */
+    @Test
+    void aProcessIsReplacedOnItsInheritedSocket() throws Exception {
+        Path go = folder.resolve("go");
+        launcher = List.of("perl", "-e", PLATFORM, go.toString());
+        servingWithDoor();
+        BufferedReader said = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
+        String[] first = said.readLine().split(" ");
+        port = Integer.parseInt(first[3]);
+        AtomicInteger answered = new AtomicInteger();
+        AtomicInteger unheard = new AtomicInteger();
+        java.util.concurrent.atomic.AtomicBoolean over = new java.util.concurrent.atomic.AtomicBoolean();
+        List<java.util.concurrent.CompletableFuture<Void>> clients = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            clients.add(java.util.concurrent.CompletableFuture.runAsync(() -> {
+                try {
+                    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                    while (!over.get()) {
+                        String answer = ask(socket, op("/buy/stream", 2000));
+                        assertTrue(List.of("200", "503", "closed").contains(status(answer)), answer);
+                        (answer.isEmpty() ? unheard : answered).incrementAndGet();
+                        if (answer.isEmpty() || answer.contains("connection: close")) {
+                            socket.close();
+                            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                        }
+                    }
+                    socket.close();
+                } catch (IOException broken) {
+                    throw new java.io.UncheckedIOException(broken);
+                }
+            }));
+        }
+        int firstDoor = door;
+        Files.createFile(go);
+        awaitReady();
+        assertTrue(door != firstDoor, "its own door");
+        ProcessHandle old = ProcessHandle.of(Long.parseLong(first[1])).orElseThrow();
+        assertTrue(old.isAlive() && old.destroy()); // SIGTERM
+        old.onExit().get();
+        for (int mark = answered.get(); answered.get() < mark + 20;) {
+            Thread.sleep(2);
+        }
+        over.set(true);
+        for (var client : clients) {
+            client.get();
+        }
+        assertTrue(unheard.get() <= 2, "turned back unheard: " + unheard);
+        assertTrue(sentOnce("/buy/stream", a) <= answered.get());
+        port = Integer.parseInt(first[3]);
+        assertEquals("200", status(ask(connect(), HEALTH)));
+        assertEquals("200", status(call("GET /-/ready")));
+    }
+
+    @Test
+    void aDescriptorThatIsNoListeningSocketEndsTheStart() throws Exception {
+        launcher = List.of("env", "NODE_FD=0");
+        start(entry("a", "in_service", a.address()));
+        assertEquals(1, process.waitFor());
+        String said = String.join("\n", log.lines().toList());
+        assertTrue(said.contains("can't start: NODE_FD names no listening socket"), said);
+    }
+
     /** At a planned restart it still accepts, answers all that it has taken, and closes each connection after. */
     @Test
     void aPlannedStopAnswersAll() throws Exception {
