--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -71,7 +71,7 @@
     private final class Op {
         final long id;
         final Kind kind;
-        final Category is; // as it came in; should its kind change meanwhile, the stricter holds
+        final Category is; // as it came in: new settings must not change the rules under an op that is open
         final PushRule rule = Logic.this.rule; // likewise
         final long bornUs = now;
         final long endUs;
@@ -92,7 +92,7 @@
         }
 
         boolean redeliverable() {
-            return is.effect() == Effect.REDELIVERABLE && kind.is.effect() == Effect.REDELIVERABLE;
+            return is.effect() == Effect.REDELIVERABLE;
         }
 
         /** It may have run, or may still. */
@@ -496,7 +496,7 @@
     /** Weighs how slow it was, for the bound; a calm learned under load or from little is kept in bounds. */
     private void slow(Push push, long tookUs) {
         if (push.to.coldFromUs == 0) { // a cold endpoint is slow without a queue
-            long target = push.op.kind.is.targetUs();
+            long target = push.op.is.targetUs();
             // Against its own usual: where one of the few in use is slow, the rest must not be closed for it.
             double slow = tookUs / Math.max(1, Math.min(5, push.to.slowness))
                     / Math.max(0.2 * target, Math.min(0.33 * target, push.op.kind.calmUs));
@@ -535,7 +535,7 @@
     /** Keeps an op that is over only while a push of it is out, and has that called back. */
     private void settle(Op op, boolean ends) {
         waiting.remove(op);
-        if (ends && !op.over && op.out > 0 && rule.cancel() && !op.begun) {
+        if (ends && !op.over && op.out > 0 && op.rule.cancel() && !op.begun) {
             leftOver.add(op);
         }
         op.over |= ends;
@@ -697,8 +697,8 @@
         } else if (!(first && !waiting.isEmpty()) && bound(op) && push(op, pick(op), false)) {
             spare -= price;
         } else {
-            double spareUs = op.kind.is.targetUs() - 1.5 * op.kind.meanUs; // it may wait and be in time still
-            long until = op.bornUs + (long) Math.max(WAIT_SHARE * op.kind.is.targetUs(), 0.8 * spareUs);
+            double spareUs = op.is.targetUs() - 1.5 * op.kind.meanUs; // it may wait and be in time still
+            long until = op.bornUs + (long) Math.max(WAIT_SHARE * op.is.targetUs(), 0.8 * spareUs);
             if ((first || !bound(op) && !op.risky()) && !in.isEmpty() && until > now && until < op.endUs) {
                 waiting.add(op);
                 room = true;
@@ -718,9 +718,8 @@
 
     /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
     private void giveUp(Op op) {
-        Category c = op.kind.is;
-        boolean mayNack = !op.risky() || harmless(op.is) && harmless(c);
-        long wait = Math.min(mostRetryAfterUs, (long) (c.targetUs() * (0.1 + 0.2 * random.nextDouble())));
+        boolean mayNack = !op.risky() || harmless(op.is);
+        long wait = Math.min(mostRetryAfterUs, (long) (op.is.targetUs() * (0.1 + 0.2 * random.nextDouble())));
         ready.add(mayNack ? Decision.nack(op.id, wait) : Decision.deadLetter(op.id));
         settle(op, true);
     }
@@ -803,7 +802,7 @@
         long overdueUs = overdueAfter(push);
         tasks.add(new Task(now + overdueUs / 2, order++, push, null));
         // Where no copy may go beside it, a silent endpoint would hold the op until its TTL.
-        boolean limit = !copies(op) && op.pushes.size() < rule.most() && op.redeliverable();
+        boolean limit = !op.rule.copies() && op.pushes.size() < op.rule.most() && op.redeliverable();
         ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueUs : 0));
         return true;
     }
@@ -814,21 +813,16 @@
 
     private boolean lawful(Op op, Server s) {
         // One final answer, within the TTL and the push limit.
-        if (op.over || op.begun || now >= op.endUs
-                || op.pushes.size() >= Math.min(rule.most(), op.rule.most())) {
+        if (op.over || op.begun || now >= op.endUs || op.pushes.size() >= op.rule.most()) {
             return false;
         }
         // Drains: nothing goes to an endpoint that we have been told is draining or gone.
-        return s.listed && (op.out == 0 || copies(op)) && repeatable(op, op.is, s)
-                && repeatable(op, op.kind.is, s) && coldRoom(s);
-    }
-
-    private boolean copies(Op op) {
-        return rule.copies() && op.rule.copies();
+        return s.listed && (op.out == 0 || op.rule.copies()) && repeatable(op, s) && coldRoom(s);
     }
 
     /** No effect twice. */
-    private boolean repeatable(Op op, Category c, Server s) {
+    private boolean repeatable(Op op, Server s) {
+        Category c = op.is;
         return c.effect() == Effect.REDELIVERABLE || op.pushes.stream().filter(Push::risky)
                 .allMatch(p -> c.effect() == Effect.DEDUPLICATED && now - p.sentUs <= c.windowUs() * 0.9
                 && (c.group() == Group.ALL || (c.group() == Group.ZONE ? p.to.is.zone().equals(s.is.zone())
--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -101,6 +101,7 @@
     private void reload(Node node) throws InterruptedException {
         try {
             Given next = read(file);
+            next.replaces(given);
             String from = given.needed("discovery");
             String to = next.needed("discovery");
             boolean changed = !next.same(given, "settings");
--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -30,6 +30,11 @@
     private static final long MOST_WATCH_MS = 20_000;
     private static final long WATCHES_PER_S = 50; // by all sidecars together
     private static final String ENVIRONMENT = "NODE_"; // begins the names of its variables
+    private static final List<String> MUST_LIMIT = List.of("max_pushes", "may_duplicate", "cancel");
+    private static final List<String> MUST_SAY = List.of("name", "effect", "target_latency_ms", "ttl_ms", "benefit");
+    private static final List<String> MUST_SAY_REPEATS = List.of("key_scope", "window_ms"); // where they are recognised
+    /** What comes and goes, counts at the start alone, or tells the shape of a deployment that is moved forth and back. */
+    private static final String MAY_GO = "known\\..*|.*\\.[0-9]+(\\..*)?|settings\\.(weight_source|discovery|benefit_basis|tenants\\.count)";
     private final Map<String, String> values;
     private final Map<?, ?> tree;
 
@@ -102,6 +107,28 @@
         return tree;
     }
 
+    /**
+     * Faults what may not take the place of an earlier configuration. At a start careful defaults stand in for what is absent;
+     * in a program that serves, an absent key is a file that was cut or broken, and a default would be a rule nobody asked for.
+     */
+    public void replaces(Given before) {
+        String settings = "settings.";
+        for (String key : MUST_LIMIT) {
+            needed(settings + "limits." + key);
+        }
+        for (int i = 0; i < count(settings + "categories"); i++) {
+            String at = settings + "categories." + i + ".";
+            MUST_SAY.forEach(key -> needed(at + key));
+            if (needed(at + "effect").equals("deduplicated")) {
+                MUST_SAY_REPEATS.forEach(key -> needed(at + key));
+            }
+        }
+        before.values.keySet().stream().filter(key -> !key.matches(MAY_GO) && !values.containsKey(key)).sorted()
+                .findFirst().ifPresent(key -> {
+                    throw fault(key.replaceAll("\\.count$", ""), "is missing, and stood in the last one");
+                });
+    }
+
     /** Whether the same stands at and below a path in both. */
     public boolean same(Given other, String path) {
         return Objects.equals(values.get(path), other.values.get(path))
@@ -193,7 +220,7 @@
                 throw fault(at + "name", "stands twice: " + needed(at + "name"));
             }
             categories.add(new Category(needed(at + "name"), effect(at + "effect"), group(at + "key_scope"),
-                    micros(at + "window_ms", 0), Math.max(1, micros(at + "target_latency_ms", 1000)),
+                    micros(at + "window_ms", 0), time(at + "target_latency_ms", 1000),
                     number(at + "benefit", 1)));
         }
         if (categories.isEmpty()) {
@@ -206,7 +233,7 @@
     public long mostTtlUs() {
         long most = 0;
         for (int i = 0; i < count("categories"); i++) {
-            most = Math.max(most, micros("categories." + i + ".ttl_ms", 3000));
+            most = Math.max(most, time("categories." + i + ".ttl_ms", 3000));
         }
         return most == 0 ? 3_000_000 : most;
     }
@@ -341,6 +368,15 @@
         throw fault(path, "out of range: " + value);
     }
 
+    /** A time that can't be nothing. */
+    private long time(String path, double ifAbsentMs) {
+        long us = micros(path, ifAbsentMs);
+        if (us < 1) {
+            throw fault(path, "has to be above 0: " + text(path, ""));
+        }
+        return us;
+    }
+
     private long micros(String path, double ifAbsentMs) {
         return Math.round(number(path, ifAbsentMs) * 1000);
     }
