--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -6,8 +6,8 @@
 /**
  * Every decision of one sidecar. How to call it: tell it what happened (settings, list, listFailed, arrive,
  * ended, streaming, left, woken), each with the clock in whole microseconds; these only note what is known.
- * Then pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is these methods
- * and the types of {@code dillcross.model}.
+ * Then pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is these
+ * methods and the types of {@code dillcross.model}.
  *
  * <p>The design decides the ordinary path: five failures in a row eject an endpoint, a jittered penalty ends
  * in one real op on probation, a failed probation doubles the penalty, and among the rest two random choices
@@ -52,9 +52,10 @@
     private final class Push {
         final Op op;
         final Server to;
-        final long sentUs = now;
+        long sentUs = now;
         Outcome end; // null while out
         boolean silent; // counted as a failure for it already, and no more in the bound
+        boolean apart = true; // no load: its op still comes, its answer flows, or it has ended
         boolean lost; // nor one whose connection seems dead, which is no load on its endpoint either
 
         Push(Op op, Server to) {
@@ -74,7 +75,7 @@
         final Category is; // as it came in: new settings must not change the rules under an op that is open
         final PushRule rule = Logic.this.rule; // likewise
         final long bornUs = now;
-        final long endUs;
+        long endUs; // counts from the last byte of its content
         final long number = order++;
         double rank;
         double part; // of the bound: its worth for its time against the usual
@@ -82,7 +83,9 @@
         final List<Push> pushes = new ArrayList<>(2);
         int out;
         boolean over;
-        boolean begun; // its answer has begun to stream: it belongs to the client now
+        Push begun; // whose answer has begun to stream: it belongs to the client now
+        boolean coming; // its content still comes: no endpoint can have begun with it
+        boolean spent; // a part of its content was let go, so it can't be pushed again
 
         Op(long id, Kind kind, long ttlUs) {
             this.id = id;
@@ -125,7 +128,7 @@
     private static final class Server {
         Endpoint is;
         boolean listed;
-        final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time; ended ones leave at the head
+        final ArrayDeque<Push> inFlight = new ArrayDeque<>(); // by time
         int flying;
         double slowness = 1; // smoothed latency over the mean of the category
         int heard; // latencies in it
@@ -405,20 +408,14 @@
         push.end = outcome;
         op.out--;
         Server s = push.to;
-        load.at(loud());
-        silent -= push.silent || push.lost ? 1 : 0;
-        s.flying -= push.lost ? 0 : 1;
+        unload(push);
         s.learnedUs = now;
-        flying--;
-        while (!s.inFlight.isEmpty() && s.inFlight.peekFirst().end != null) {
-            s.inFlight.pollFirst();
-        }
-        room = true;
-        if (outcome == Outcome.ACKED) {
+        if (outcome == Outcome.ACKED && op.begun != push) {
             acked(push, tookUs);
         } else if (outcome.failure) {
             // One time-out says as much as many slow answers; a sidecar with little traffic sees no more.
-            s.slowness = push.lost ? s.slowness : Math.max(s.slowness, Math.min(20, tookUs / op.kind.meanUs));
+            double ratio = push.lost || op.coming ? 0 : Math.min(20, tookUs / op.kind.meanUs);
+            s.slowness = Math.max(s.slowness, ratio);
             // A client that gives up before an answer could be expected is no word on the endpoint's health.
             if (outcome != Outcome.TIMED_OUT || tookUs > PATIENCE * op.kind.meanUs || s.probation == push) {
                 failed(push);
@@ -444,10 +441,22 @@
         now = nowUs;
         Op op = ops.get(id);
         if (op != null && number < op.pushes.size()) {
-            op.begun = true;
-            Push push = op.pushes.get(number);
-            push.to.lastAnswerUs = now;
-            push.to.run = 0;
+            Push push = op.begun = op.pushes.get(number);
+            unload(push); // how long it flows is its client's doing as well, and no queue of the endpoint's
+            acked(push, Math.max(1, now - push.sentUs));
+            leftOver.add(op); // the client has one answer, and the copies beside it none to give
+        }
+    }
+
+    /** How far an op's content has come, and whether all of it could be pushed once more. */
+    public void content(long nowUs, long id, boolean whole, boolean again) {
+        now = nowUs;
+        Op op = ops.get(id);
+        if (op != null) {
+            op.coming = !whole;
+            op.spent = !again;
+            op.endUs += whole ? now - op.bornUs : 0;
+            op.pushes.stream().filter(p -> whole && p.end == null).forEach(this::load);
         }
     }
 
@@ -535,7 +544,7 @@
     /** Keeps an op that is over only while a push of it is out, and has that called back. */
     private void settle(Op op, boolean ends) {
         waiting.remove(op);
-        if (ends && !op.over && op.out > 0 && op.rule.cancel() && !op.begun) {
+        if (ends && !op.over && op.begun == null) {
             leftOver.add(op);
         }
         op.over |= ends;
@@ -561,7 +570,7 @@
         }
         for (Op op; (op = leftOver.poll()) != null;) {
             for (int i = 0; i < op.pushes.size(); i++) {
-                if (op.pushes.get(i).end == null) {
+                if (op.rule.cancel() && op.pushes.get(i).end == null && op.pushes.get(i) != op.begun) {
                     ready.add(Decision.cancel(op.id, i));
                 }
             }
@@ -635,11 +644,9 @@
         room = true;
     }
 
-    /**
-     * Takes into use what we want of a location, from our own spot on its ring: sidecars differ, endpoints
+    /** Takes into use what we want of a location, from our own spot on its ring: sidecars differ, endpoints
      * share alike, a change of the list moves few. Spread over all, a sidecar with little traffic would learn
-     * nothing of any. What is ejected or cold does not count, and when all that is used is full others help.
-     */
+     * nothing of any. What is ejected or cold does not count; when all that is used is full others help. */
     private void use(List<Server> location, List<Server> used) {
         location = location == null ? List.of() : location;
         double all = location.stream().mapToDouble(s -> s.nominal).sum();
@@ -659,11 +666,9 @@
         }
     }
 
-    /**
-     * How much may be in flight, in the mean. By Little's law the answers of a second times their calm
+    /** How much may be in flight, in the mean. By Little's law the answers of a second times their calm
      * latency is what would be in flight without a queue; a multiple bounds the queue, and falls as answers
-     * slow down, so that overdriven endpoints can rest. No floor of an op: over a fleet floors add up.
-     */
+     * slow down, so that overdriven endpoints can rest. No floor of an op: over a fleet floors add up. */
     private double most() {
         double known = heardUs == 0 ? 0 : 1 - Math.exp((heardUs - now) / spanUs);
         double mean = calm.at(0) / Math.max(0.2, known);
@@ -692,7 +697,7 @@
         }
         // Further pushes come out of a budget: retries must not feed an overload. What never ran cost little.
         double price = first ? 0 : op.pushes.get(op.pushes.size() - 1).end.mayHaveRun ? 1 : 0.25;
-        if (spare < price) {
+        if (spare < price || op.spent && !first) {
             giveUp(op);
         } else if (!(first && !waiting.isEmpty()) && bound(op) && push(op, pick(op), false)) {
             spare -= price;
@@ -718,17 +723,13 @@
 
     /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
     private void giveUp(Op op) {
-        boolean mayNack = !op.risky() || harmless(op.is);
+        boolean mayNack = !op.risky() || op.redeliverable()
+                || op.is.effect() == Effect.DEDUPLICATED && op.is.group() == Group.ALL;
         long wait = Math.min(mostRetryAfterUs, (long) (op.is.targetUs() * (0.1 + 0.2 * random.nextDouble())));
         ready.add(mayNack ? Decision.nack(op.id, wait) : Decision.deadLetter(op.id));
         settle(op, true);
     }
 
-    private static boolean harmless(Category c) {
-        return c.effect() == Effect.REDELIVERABLE
-                || c.effect() == Effect.DEDUPLICATED && c.group() == Group.ALL;
-    }
-
     // ---- The pick
 
     private Server pick(Op op) {
@@ -784,13 +785,10 @@
         op.pushes.add(push);
         op.out++;
         s.pushedUs = now;
-        s.flying++;
-        load.at(loud());
-        flying++;
-        s.inFlight.addLast(push);
-        if (probation) {
-            s.probation = push;
+        if (!op.coming) { // before that it is no load, and its silence tells nothing
+            load(push);
         }
+        s.probation = probation ? push : s.probation;
         s.sent++;
         if (first) {
             spare = Math.min(Math.max(1, Math.min(SPARE_MOST, SPARE_SHARE * came)), spare + SPARE_SHARE);
@@ -799,25 +797,44 @@
                 op.tenant.got++;
             }
         }
-        long overdueUs = overdueAfter(push);
-        tasks.add(new Task(now + overdueUs / 2, order++, push, null));
         // Where no copy may go beside it, a silent endpoint would hold the op until its TTL.
         boolean limit = !op.rule.copies() && op.pushes.size() < op.rule.most() && op.redeliverable();
-        ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueUs : 0));
+        ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueAfter(push) : 0));
         return true;
     }
 
+    /** From now on its endpoint works for it. */
+    private void load(Push push) {
+        load.at(loud());
+        push.apart = false;
+        push.sentUs = now;
+        flying++;
+        push.to.flying++;
+        push.to.inFlight.addLast(push);
+        tasks.add(new Task(now + overdueAfter(push) / 2, order++, push, null));
+    }
+
+    private void unload(Push push) {
+        if (!push.apart) {
+            load.at(loud());
+            silent -= push.silent || push.lost ? 1 : 0;
+            flying--;
+            push.to.flying -= push.lost ? 0 : 1;
+            push.to.inFlight.remove(push);
+            push.apart = true;
+        }
+        room = true;
+    }
+
     private long overdueAfter(Push push) {
         return (long) (OVERDUE * push.op.kind.meanUs * Math.max(1, Math.min(4, push.to.slowness)));
     }
 
     private boolean lawful(Op op, Server s) {
-        // One final answer, within the TTL and the push limit.
-        if (op.over || op.begun || now >= op.endUs || op.pushes.size() >= op.rule.most()) {
-            return false;
-        }
-        // Drains: nothing goes to an endpoint that we have been told is draining or gone.
-        return s.listed && (op.out == 0 || op.rule.copies()) && repeatable(op, s) && coldRoom(s);
+        // One final answer, within the TTL and the push limit. Drains: nothing to what is draining or gone.
+        boolean may = !op.over && op.begun == null && (op.coming || now < op.endUs) && s.listed
+                && op.pushes.size() < (op.spent ? 1 : op.rule.most());
+        return may && (op.out == 0 || op.rule.copies()) && repeatable(op, s) && coldRoom(s);
     }
 
     /** No effect twice. */
@@ -850,7 +867,7 @@
     /** A push is out far longer than its kind takes: silence is evidence, and a copy may help. */
     private void overdue(Push push) {
         Op op = push.op;
-        if (push.end != null || push.silent || op.begun) {
+        if (push.end != null || push.silent || op.begun != null) {
             return;
         }
         long after = overdueAfter(push);
--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -51,6 +51,8 @@
         settings.keepUs();
         settings.watchMs();
         read.descriptors();
+        read.mostBody();
+        read.room();
         return read;
     }
 
@@ -78,7 +80,8 @@
             core.list(clock.getAsLong(), known.version(), true, known.entries(), false);
         }
         Node node = new Node(core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
-                settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()));
+                settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()),
+                given.mostBody(), Math.min(Runtime.getRuntime().maxMemory() / 4, given.room()));
         node.open(given.has("admin_addr") ? address(given, "admin_addr") : null);
         Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/dillcross/config/Given.java
+++ b/src/main/java/dillcross/config/Given.java
@@ -29,6 +29,7 @@
     private static final long LEAST_WATCH_MS = 2_000;
     private static final long MOST_WATCH_MS = 20_000;
     private static final long WATCHES_PER_S = 50; // by all sidecars together
+    private static final int OWN_MB = 48; // resident with nothing to carry, and some garbage
     private static final String ENVIRONMENT = "NODE_"; // begins the names of its variables
     private static final List<String> MUST_LIMIT = List.of("max_pushes", "may_duplicate", "cancel");
     private static final List<String> MUST_SAY = List.of("name", "effect", "target_latency_ms", "ttl_ms", "benefit");
@@ -259,6 +260,16 @@
         return (int) most;
     }
 
+    /** Bytes of the largest body that is taken or passed on. */
+    public long mostBody() {
+        return whole("limits.body_bytes", 32 << 20, 1);
+    }
+
+    /** Bytes that all buffers may take together: half of what the limit of memory leaves beside the program itself. */
+    public long room() {
+        return (long) (Math.max(8, number("limits.memory_mb", 192) - OWN_MB) / 2 * (1 << 20));
+    }
+
     public long seed() {
         String seed = text("seed", "0");
         try {
--- a/src/main/java/dillcross/net/Connector.java
+++ b/src/main/java/dillcross/net/Connector.java
@@ -12,10 +12,14 @@
 /** Opens connections under the given top filter. Each has its link before it is up, so that it can be given up. */
 final class Connector extends TCPNIOConnectorHandler {
     private final Budget budget;
+    private final int whole; // bytes of an answer that is handed over whole
+    private final long most; // bytes of any
     private Link opening;
 
-    Connector(TCPNIOTransport transport, Filter top, Budget budget) {
+    Connector(TCPNIOTransport transport, Filter top, int whole, long most, Budget budget) {
         super(transport);
+        this.whole = whole;
+        this.most = most;
         this.budget = budget;
         setProcessor(HttpFilter.chain(false, top));
     }
@@ -23,7 +27,7 @@
     @Override
     @SuppressWarnings("rawtypes")
     protected void preConfigure(Connection connection) {
-        opening = new Link((NIOConnection) connection, false, budget);
+        opening = new Link((NIOConnection) connection, false, whole, most, budget);
     }
 
     /** {@code done} hears once, with the link where it is up and with null where it can't be had. */
--- a/src/main/java/dillcross/net/Discovery.java
+++ b/src/main/java/dillcross/net/Discovery.java
@@ -32,7 +32,7 @@
         this.core = core;
         this.clock = clock;
         this.address = address;
-        connector = new Connector(transport, this, budget);
+        connector = new Connector(transport, this, Reader.MOST_LIST, Reader.MOST_LIST, budget);
     }
 
     /** Limits for the calls from now on; the one that is out keeps its own. */
--- a/src/main/java/dillcross/net/Door.java
+++ b/src/main/java/dillcross/net/Door.java
@@ -30,7 +30,7 @@
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        Link link = new Link((NIOConnection) ctx.getConnection(), true, budget);
+        Link link = new Link((NIOConnection) ctx.getConnection(), true, Reader.WHOLE, Reader.WHOLE, budget);
         link.connected = true;
         link.idleUs = clock.getAsLong();
         links.add(link);
--- a/src/main/java/dillcross/net/Endpoints.java
+++ b/src/main/java/dillcross/net/Endpoints.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -26,6 +27,7 @@
         final long sentUs;
         final long connectByUs;
         Link link; // null until it is opened
+        Message begun; // its answer, once that is being passed on
 
         Exchange(Order.Push push, Pool pool, long sentUs, long connectUs) {
             this.push = push;
@@ -59,11 +61,11 @@
     private final Set<Link> links = new HashSet<>(); // all that are open or opening
     private long sweptUs;
 
-    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, int most, Budget budget) {
+    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, int most, long mostBody, Budget budget) {
         this.core = core;
         this.clock = clock;
         this.most = most;
-        connector = new Connector(transport, this, budget);
+        connector = new Connector(transport, this, Reader.WHOLE, mostBody, budget);
     }
 
     /** Limits for what connects and rests from now on; what is connecting keeps its own. */
@@ -171,7 +173,25 @@
         Map<String, String> fields = request.passedOn();
         long waitMs = Math.max(1, (exchange.push.untilUs() - clock.getAsLong()) / 1000);
         fields.put(Names.TIMEOUT, String.valueOf(waitMs));
-        link.connection.write(Message.request(request.first(), request.second(), fields, request.body()));
+        link.connection.write(request.as(Message.request(request.first(), request.second(), fields, Message.NOTHING)));
+        if (request.flows() && link.connection.isOpen()) {
+            long op = exchange.push.op();
+            new Stream(request.from(), link, request.rest() == Message.UNKNOWN, new Stream.Owner() {
+                @Override
+                public void letGo() {
+                    core.letGo(clock.getAsLong(), op);
+                }
+
+                @Override
+                public void over(boolean whole) {
+                    if (whole) {
+                        core.came(clock.getAsLong(), op);
+                    } else {
+                        request.from().close(); // its client sent what can't be read
+                    }
+                }
+            }).start();
+        }
     }
 
     void giveUp(Order.GiveUp order) {
@@ -205,8 +225,16 @@
         Link link = exchange.link;
         if (link != null) {
             link.user = null;
+            boolean written = link.written();
+            if (link.sink != null) {
+                link.sink.detach();
+            }
+            if (link.source != null) {
+                link.source.detach();
+            }
             boolean unused = kind == Ending.Kind.NOT_SENT && link.connected;
-            boolean whole = answer != null && answer.keepsAlive() && link.written() && link.in.size() == 0;
+            boolean whole = answer != null && answer.keepsAlive() && written && link.in.size() == 0
+                    && !link.reader.flows();
             boolean known = pools.get(exchange.push.endpoint()) == exchange.pool; // it was not to be forgotten meanwhile
             if (known && (unused || whole) && !link.ended) {
                 link.idleUs = clock.getAsLong();
@@ -228,10 +256,36 @@
             return ctx.getStopAction();
         }
         Message answer = ctx.getMessage();
-        end(exchange, kind(answer), answer);
+        if (!answer.flows() || kind(answer) != Ending.Kind.ACKED) {
+            end(exchange, kind(answer), answer);
+        } else if (core.begun(clock.getAsLong(), exchange.push.op(), exchange.push.push(), answer)) {
+            exchange.begun = answer;
+            link.hold();
+        } else {
+            end(exchange, Ending.Kind.ERROR, null); // nobody waits for it any more
+        }
         return ctx.getStopAction();
     }
 
+    /** The rest of an answer that has begun goes on to that link. */
+    void passOn(Message answer, Link to, boolean chunks) {
+        Exchange exchange = (Exchange) answer.from().user;
+        if (exchange == null || exchange.begun != answer) {
+            return; // it broke meanwhile, and was reported
+        }
+        new Stream(answer.from(), to, chunks, new Stream.Owner() {
+            @Override
+            public void letGo() {
+                // from its first byte on it was the client's
+            }
+
+            @Override
+            public void over(boolean whole) {
+                end(exchange, whole ? Ending.Kind.ACKED : Ending.Kind.BROKEN, answer);
+            }
+        }).start();
+    }
+
     private static Ending.Kind kind(Message answer) {
         return switch (answer.status()) {
             case 200 -> Ending.Kind.ACKED;
@@ -278,6 +332,13 @@
         }
         if (nowUs - sweptUs > 1_000_000) {
             sweptUs = nowUs;
+            for (Link link : List.copyOf(links)) {
+                link.look(nowUs);
+                boolean silent = link.reader.flows() && !link.paused() && link.movedUs > 0 && nowUs - link.movedUs > idleUs;
+                if (silent && link.user instanceof Exchange e) {
+                    end(e, Ending.Kind.BROKEN, null); // it gives nothing more, and would hold its place for good
+                }
+            }
             for (Pool pool : pools.values()) {
                 for (Link link; (link = pool.free().peekFirst()) != null && !usable(link);) {
                     pool.free().pollFirst();
--- a/src/main/java/dillcross/net/HttpFilter.java
+++ b/src/main/java/dillcross/net/HttpFilter.java
@@ -26,8 +26,20 @@
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
         Link link = Link.of(ctx.getConnection());
-        if (!link.closing && !(server && link.user != null)) {
+        if (link.reader.flows() && !link.closing) {
+            if (link.source != null) {
+                link.source.pump();
+            }
+            if (server && link.ended) {
+                link.close(); // a client that closes has gone
+            }
+            link.hold();
+            return ctx.getStopAction();
+        }
+        boolean busy = server && link.user != null; // what comes behind a request waits in the ring
+        if (!link.closing && !busy) {
             Message message = link.reader.read(link.in, link.ended && !link.reset);
+            message = message != null && link.reader.flows() ? message.flowing(link) : message;
             if (server && link.reader.takeWantsMore()) {
                 link.out.add(CONTINUE);
                 link.flush();
@@ -38,8 +50,10 @@
                 return ctx.getInvokeAction();
             }
         }
-        if (link.ended || link.in.full()) {
+        if (link.ended || link.in.full() && !busy) {
             link.close();
+        } else if (busy) {
+            link.hold();
         }
         return ctx.getStopAction();
     }
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -22,6 +22,8 @@
 final class Listener extends BaseFilter {
     private static final long LINGER_US = 500_000; // for the other side to read a last answer and close
     private static final long BRING_US = 2_000_000; // that a request may take to come, or an answer to be read
+    private static final long HEAD_US = 2_500_000; // ... or its head
+    private static final long BODY_US = 4_000_000; // with a body that is held: 64 KiB at the rate of a slow client, and slack
     private static final long IDLE_US = 20_000_000; // without a request: who asks once and stays must not add up
     // At the limit: that a new client has to begin, to bring all of its request, and to come back with the next.
     private static final long NEW_US = 200_000;
@@ -35,6 +37,7 @@
     private Map<String, Category> categories = Map.of();
     private long mostTtlUs;
     private final int most; // connections
+    private final long mostBody; // bytes
     private final Budget budget;
     private final Set<Link> links = new LinkedHashSet<>(); // those that carry nothing in the order since when
     private final Set<String> open = new HashSet<>(); // ids of requests that wait for their answer
@@ -43,7 +46,8 @@
     private long loggedUs;
     private final Life life;
 
-    Listener(Core core, Life life, LongSupplier clock, int most, Budget budget) {
+    Listener(Core core, Life life, LongSupplier clock, int most, long mostBody, Budget budget) {
+        this.mostBody = mostBody;
         this.core = core;
         this.life = life;
         this.clock = clock;
@@ -65,7 +69,7 @@
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
-        Link link = new Link((NIOConnection) ctx.getConnection(), true, budget);
+        Link link = new Link((NIOConnection) ctx.getConnection(), true, Reader.WHOLE, mostBody, budget);
         link.connected = true;
         link.idleUs = clock.getAsLong();
         links.add(link);
@@ -180,7 +184,7 @@
             long ttlUs = Math.min(mostTtlUs, Long.parseLong(request.field(Names.TIMEOUT)) * 1000);
             open.add(id);
             long op = core.arrive(clock.getAsLong(), new Caller(link, request), request, request.field(Names.TENANT),
-                    category.name(), ttlUs, "1".equals(request.field(Names.REPEAT)));
+                    category.name(), ttlUs, "1".equals(request.field(Names.REPEAT)), request.flows());
             link.user = new Waiting(op, id);
         }
     }
@@ -234,18 +238,62 @@
 
     private void answer(Link link, Message request, Message answer) {
         rests(link);
-        // Who asks once and stays would hold its place for good; told so with the answer, no next request crosses the close.
-        link.closing = life.leaving() || !request.keepsAlive() || crowded() && link.asked < 2;
+        link.closing = closes(link, request);
+        if (link.reader.flows()) {
+            link.dropRest(mostBody); // it still comes
+        }
+        if (!link.closing && request.old()) {
+            answer.fields().put("connection", "keep-alive");
+        }
         write(link, answer);
+        goOn(link);
+    }
+
+    /** Who asks once and stays would hold its place for good; told so with the answer, no next request crosses the close. */
+    private boolean closes(Link link, Message request) {
+        return life.leaving() || !request.keepsAlive() || crowded() && link.asked < 2;
+    }
+
+    private void goOn(Link link) {
         pause(false); // it may make room now
-        if (!link.closing && link.in.size() > 0) {
-            next(link);
+        if (!link.closing) {
+            link.resume();
+            if (link.in.size() > 0) {
+                next(link);
+            }
         }
     }
 
+    /** Begins an answer whose rest follows as it comes; whether that is to be written in chunks. */
+    boolean pass(Caller caller, Message answer) {
+        Message head = answer.as(Message.answer(200, answer.passedOn(), Message.NOTHING)).readBy(caller.request());
+        Link link = caller.link();
+        link.closesAfter = head.rest() == Message.TO_THE_END || closes(link, caller.request());
+        if (link.closesAfter) {
+            head.fields().put("connection", "close");
+        }
+        link.connection.write(head);
+        return head.rest() == Message.UNKNOWN;
+    }
+
+    /** It has come to its end, or broke off, which the client is to see. */
+    void passed(Caller caller, boolean whole) {
+        Link link = caller.link();
+        link.user = null;
+        open.remove(caller.request().field(Names.ID));
+        rests(link);
+        if (!whole && link.closesAfter && caller.request().old()) {
+            link.cut();
+        } else if (!whole || link.closesAfter) {
+            link.finish();
+        }
+        goOn(link);
+    }
+
     /** From now on it carries nothing: it goes to the end of those that wait to be closed. */
     private void rests(Link link) {
         link.idleUs = clock.getAsLong();
+        link.partialUs = 0; // what comes next is timed from its own first byte
         links.remove(link);
         links.add(link);
     }
@@ -288,22 +336,59 @@
 
     /**
      * Who brings no whole request in time is told so, or closed where it has said nothing; who does not read its answer is
-     * closed: a slow client would use up the limit.
+     * closed: a slow client would use up the limit. What moves, if only slowly, may go on.
      */
     void sweep(long nowUs) {
         boolean lettingGo = life.lettingGo(nowUs);
         for (Link link : List.copyOf(links)) {
-            boolean waits = link.user != null || idle(link) && link.asked > 0;
-            // The first request counts from connecting, a later one from its first byte.
-            long mayRestUs = lettingGo ? link.asked > 0 ? 0 : NEW_US : crowded() ? RECENT_US : IDLE_US;
-            link.partialUs = waits ? 0 : link.partialUs > 0 ? link.partialUs : link.asked == 0 ? link.idleUs : nowUs;
-            boolean late = !waits && nowUs - link.partialUs > BRING_US;
-            if (link.closing ? nowUs - link.idleUs > LINGER_US : late && !link.partial()
-                    || idle(link) && nowUs - link.idleUs > mayRestUs) {
-                link.close();
-            } else if (late && !link.closing) {
-                reject(link, Message.answer(408, "the request did not come whole in time"));
+            link.look(nowUs);
+            long stillUs = nowUs - Math.max(link.movedUs, link.idleUs);
+            boolean rests = link.user == null && idle(link);
+            if (link.closing) {
+                if (stillUs > (link.out.size() > 0 ? BRING_US : LINGER_US)) {
+                    link.close();
+                }
+            } else if (link.user instanceof Waiting waiting) {
+                carried(link, waiting, nowUs, stillUs);
+            } else if (rests && link.asked > 0) {
+                link.partialUs = 0;
+                if (nowUs - link.idleUs > (lettingGo ? 0 : crowded() ? RECENT_US : IDLE_US)) {
+                    link.close();
+                }
+            } else if (link.out.size() > 0 && !link.partial()) {
+                if (stillUs > BRING_US) {
+                    link.close(); // it does not read its answer
+                }
+            } else {
+                brings(link, nowUs, rests, lettingGo);
             }
         }
     }
+
+    /** An op with a large body either way: neither may stand still for good. */
+    private void carried(Link link, Waiting waiting, long nowUs, long stillUs) {
+        if (link.reader.flows() && !link.paused() && stillUs > BRING_US) {
+            link.user = null;
+            open.remove(waiting.id());
+            core.left(nowUs, waiting.op());
+            reject(link, Message.answer(408, "the request stopped coming"));
+        } else if (link.reader.flows() && stillUs > Math.max(BRING_US, mostTtlUs)) {
+            core.stuck(nowUs, waiting.op());
+        } else if (link.sink != null && link.out.size() > 0 && stillUs > IDLE_US) {
+            link.close(); // it reads nothing
+        }
+    }
+
+    /** A request that has not come whole: the first counts from connecting, a later one from its first byte. */
+    private void brings(Link link, long nowUs, boolean silent, boolean lettingGo) {
+        link.partialUs = link.partialUs > 0 ? link.partialUs : link.asked == 0 ? link.idleUs : nowUs;
+        boolean within = link.reader.within();
+        boolean late = nowUs - link.partialUs > (within ? BODY_US : silent ? BRING_US : HEAD_US)
+                || within && nowUs - Math.max(link.movedUs, link.partialUs) > BRING_US;
+        if (silent && (late || lettingGo && nowUs - link.idleUs > NEW_US)) {
+            link.close();
+        } else if (late) {
+            reject(link, Message.answer(408, "the request did not come whole in time"));
+        }
+    }
 }
--- a/src/main/java/dillcross/net/Message.java
+++ b/src/main/java/dillcross/net/Message.java
@@ -1,23 +1,31 @@
 package dillcross.net;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
-/** One HTTP message, whole: the three parts of its first line, its fields by lower-case name, its body. */
-record Message(String first, String second, String third, Map<String, String> fields, byte[] body) {
+/**
+ * One HTTP message: the three parts of its first line, its fields by lower-case name, its body. Of a body too large to be
+ * held these are the first bytes; {@code rest} more, or {@code UNKNOWN}, follow on the link that it comes {@code from}.
+ */
+record Message(String first, String second, String third, Map<String, String> fields, byte[] body, long rest, Link from) {
     static final byte[] NOTHING = {};
+    static final long UNKNOWN = -1;
+    static final long TO_THE_END = -2; // of the connection, which ends it: for those who know no chunks
+    private static final byte[] LINE = {'\r', '\n'};
     /** Fields that speak of one connection only, or that the writer of the next message sets itself. */
     private static final Set<String> OF_THE_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
             "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authenticate", "proxy-authorization");
 
     static Message request(String method, String target, Map<String, String> fields, byte[] body) {
-        return new Message(method, target, "HTTP/1.1", fields, body);
+        return new Message(method, target, "HTTP/1.1", fields, body, 0, null);
     }
 
     static Message answer(int status, Map<String, String> fields, byte[] body) {
-        return new Message("HTTP/1.1", String.valueOf(status), reason(status), fields, body);
+        return new Message("HTTP/1.1", String.valueOf(status), reason(status), fields, body, 0, null);
     }
 
     static Message answer(int status, String text) {
@@ -25,6 +33,25 @@
                 (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Another head for the same body. */
+    Message as(Message head) {
+        return new Message(head.first, head.second, head.third, head.fields, body, rest, from);
+    }
+
+    /** For a reader of that version: its end is told by chunks, or by the end of the connection. */
+    Message readBy(Message asked) {
+        return new Message(first, second, third, fields, body, rest == UNKNOWN && asked.old() ? TO_THE_END : rest, from);
+    }
+
+    Message flowing(Link on) {
+        return new Message(first, second, third, fields, body, rest, on);
+    }
+
+    /** Its body has been read only in part, and the rest goes through as it comes. */
+    boolean flows() {
+        return from != null;
+    }
+
     static Message notAllowed(String method) {
         Message answer = answer(405, "only " + method + " is served here");
         answer.fields().put("allow", method);
@@ -59,10 +86,31 @@
     }
 
     boolean keepsAlive() {
-        String said = field("connection");
-        boolean old = first.equals("HTTP/1.0") || third.equals("HTTP/1.0");
-        return said == null ? !old : !said.toLowerCase(java.util.Locale.ROOT).contains("close")
-                && (!old || said.equalsIgnoreCase("keep-alive"));
+        List<String> said = List.of(fields.getOrDefault("connection", "").toLowerCase(java.util.Locale.ROOT).split("[ \\t]*,[ \\t]*"));
+        return !said.contains("close") && (!old() || said.contains("keep-alive"));
+    }
+
+    /** Of the version that keeps no connection unless it says so, and knows no chunks. */
+    boolean old() {
+        return first.equals("HTTP/1.0") || third.equals("HTTP/1.0");
+    }
+
+    /** All that goes before the bytes that follow: its head and what it has of its body. */
+    byte[] start() {
+        byte[] head = head();
+        boolean chunk = rest == UNKNOWN && body.length > 0;
+        byte[] size = chunk ? chunk(body.length) : NOTHING;
+        byte[] end = chunk ? LINE : NOTHING;
+        byte[] all = Arrays.copyOf(head, head.length + size.length + body.length + end.length);
+        System.arraycopy(size, 0, all, head.length, size.length);
+        System.arraycopy(body, 0, all, head.length + size.length, body.length);
+        System.arraycopy(end, 0, all, all.length - end.length, end.length);
+        return all;
+    }
+
+    /** What goes ahead of so many bytes of a chunked body. */
+    static byte[] chunk(int size) {
+        return (Integer.toHexString(size) + "\r\n").getBytes(StandardCharsets.US_ASCII);
     }
 
     /** All that goes before its body. */
@@ -70,8 +118,10 @@
         StringBuilder head = new StringBuilder(256);
         head.append(first).append(' ').append(second).append(' ').append(third).append("\r\n");
         fields.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
-        if (body.length > 0 || !first.equals("GET")) {
-            head.append("content-length: ").append(body.length).append("\r\n");
+        if (rest == UNKNOWN) {
+            head.append("transfer-encoding: chunked\r\n");
+        } else if (rest >= 0 && (body.length > 0 || !first.equals("GET"))) {
+            head.append("content-length: ").append(body.length + rest).append("\r\n");
         }
         return head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -63,7 +63,7 @@
     private boolean swept; // at the end of accepting
 
     public Node(Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
-            long connectUs, long keepUs, long watchMs, int descriptors) {
+            long connectUs, long keepUs, long watchMs, int descriptors, long mostBody, long room) {
         this.core = core;
         this.clock = clock;
         look();
@@ -73,11 +73,11 @@
                 .setMemoryManager(new HeapMemoryManager()).setSelectorHandler(loop);
         builder.setTcpNoDelay(true).setReuseAddress(true).setKeepAlive(false);
         transport = builder.build();
-        Budget budget = new Budget(Runtime.getRuntime().maxMemory() / 4);
+        Budget budget = new Budget(room);
         // Clients need more: some ask once and stay, some say nothing; an endpoint's connection serves one op after another.
         int third = (descriptors - SPARE_DESCRIPTORS) / 3;
-        listener = new Listener(core, life, this::now, 2 * third, budget);
-        endpoints = new Endpoints(transport, core, this::now, third, budget);
+        listener = new Listener(core, life, this::now, 2 * third, mostBody, budget);
+        endpoints = new Endpoints(transport, core, this::now, third, mostBody, budget);
         discovery = new Discovery(transport, core, this::now, discoveryAddress, budget);
         limits(categories, mostTtlUs, connectUs, keepUs, watchMs);
     }
@@ -244,6 +244,12 @@
         } else if (order instanceof Order.Ack ack) {
             Message answer = (Message) ack.content();
             listener.answer(ack.client(), Message.answer(200, answer.passedOn(), answer.body()));
+        } else if (order instanceof Order.Pass pass) {
+            Listener.Caller caller = (Listener.Caller) pass.client();
+            Message answer = (Message) pass.content();
+            endpoints.passOn(answer, caller.link(), listener.pass(caller, answer));
+        } else if (order instanceof Order.Passed passed) {
+            listener.passed((Listener.Caller) passed.client(), passed.whole());
         } else if (order instanceof Order.Reject reject) {
             listener.answer(reject.client(), Message.answer(((Message) reject.content()).status(), "turned down"));
         } else if (order instanceof Order.Nack nack) {
--- a/src/main/java/dillcross/net/Reader.java
+++ b/src/main/java/dillcross/net/Reader.java
@@ -11,30 +11,40 @@
  * smuggle one request inside another: one length, one coding, no folded lines, no stray control characters.
  */
 final class Reader {
-    static final int MOST_BODY = 64 << 10; // of a request
-    static final int MOST_ANSWER = 1 << 20; // of an answer: they do come larger than requests; what says 3 GB is spoilt
+    static final int WHOLE = 64 << 10; // a body up to this is read whole before it goes on; a larger one flows
+    static final int MOST_LIST = 1 << 20; // of the list, which is always read whole
     private static final int MOST_HEAD = 16 << 10;
+    private static final int MOST_CHUNK_LINE = 4 << 10; // with its extensions, or of a trailer
     private static final int MOST_REQUEST_HEAD = 8 << 10; // an endpoint may take no more
     private static final int MOST_INTERIM = 16; // answers ahead of the answer: some are usual, more are without end
     private static final String VERSION = "HTTP/1."; // that each answer begins with
-    private static final int UNTIL_CLOSE = -1;
+    private static final long UNTIL_CLOSE = -1;
     /** A second one of these would leave open which holds. */
     private static final Set<String> SINGLE = Set.of("content-length", "transfer-encoding", "host", Names.ID,
             Names.TIMEOUT, Names.KEY);
 
     private final boolean requests;
+    private final int whole; // bytes of a body that is handed over whole
+    private final long most; // bytes of any body; what says 3 GB is spoilt
     private Message head; // of the message whose body is being read
-    private int length; // of that body, or UNTIL_CLOSE
+    private long left; // of that body, or of the chunk; UNTIL_CLOSE where only the end of the connection tells
+    private long came; // of that body
     private boolean chunked;
-    private ByteArrayOutputStream chunks;
+    private boolean chunkEnds; // the line end behind a chunk is still to come
+    private int trailer; // bytes of the lines after the last chunk, with one for that chunk; 0 before it
+    private ByteArrayOutputStream first; // of a body whose length is not known
+    private boolean flows; // the rest of the body is taken from outside, as it comes
+    private boolean done; // all of the body has been taken
     private int interim;
-    private int scanned; // bytes already searched for the end of the head
+    private int scanned; // bytes already searched for the end of the head or line
     private int fault; // status that says what is wrong with the input; 0 while nothing is
     private boolean wantsMore; // the sender waits for a sign before it sends the body
 
     /** Reads requests, or else answers. */
-    Reader(boolean requests) {
+    Reader(boolean requests, int whole, long most) {
         this.requests = requests;
+        this.whole = whole;
+        this.most = most;
     }
 
     int fault() {
@@ -52,9 +62,22 @@
         return was;
     }
 
-    /** The next whole message, or null where there is none yet, or none any more because of a fault. */
+    /** The body of the message that was read last is being taken as it comes. */
+    boolean flows() {
+        return flows;
+    }
+
+    /** ... and that was all of it; the next message may be read. */
+    boolean done() {
+        return done;
+    }
+
+    /**
+     * The next message, whole, or with the first bytes of a body too large for that; null where there is none yet, or none any
+     * more because of a fault.
+     */
     Message read(Ring in, boolean ended) {
-        while (fault == 0) {
+        while (fault == 0 && !flows) {
             if (head == null && !readHead(in)) {
                 return null;
             }
@@ -66,110 +89,143 @@
                 continue;
             }
             interim = 0;
-            byte[] body = chunked ? readChunks(in) : readBody(in, ended);
+            byte[] body = first != null ? collect(in, ended) : measured(in);
             if (body == null) {
                 return null;
             }
             wantsMore = false;
-            Message whole = new Message(head.first(), head.second(), head.third(), head.fields(), body);
-            head = null;
-            return whole;
+            long rest = done ? 0 : first != null ? Message.UNKNOWN : left;
+            Message read = new Message(head.first(), head.second(), head.third(), head.fields(), body, rest, null);
+            flows = !done;
+            if (done) {
+                finish();
+            }
+            return read;
         }
         return null;
     }
 
-    private byte[] readBody(Ring in, boolean ended) {
-        if (length == UNTIL_CLOSE) {
-            if (in.size() > mostBody()) {
-                fail(413);
-            }
-            if (!ended || fault != 0) {
-                return null;
+    /** The message is over: the next bytes belong to another. */
+    void finish() {
+        head = null;
+        flows = false;
+        first = null;
+    }
+
+    /** Of a body whose length is known: all of it, or the first bytes of a large one. */
+    private byte[] measured(Ring in) {
+        // A request's first bytes are kept for another push; an answer's go on at once, as its latency is theirs.
+        long wanted = left <= whole ? left : requests ? whole : 1;
+        if (in.size() < wanted) {
+            in.fits((int) wanted - in.size());
+            return null;
+        }
+        byte[] bytes = new byte[(int) Math.min(left, Math.min(whole, in.size()))];
+        in.copy(0, bytes, 0, bytes.length);
+        in.skip(bytes.length);
+        took(bytes.length);
+        return bytes;
+    }
+
+    /** Of a body whose length only its end tells: the same. */
+    private byte[] collect(Ring in, boolean ended) {
+        int run;
+        while ((run = run(in, ended)) > 0) {
+            if (first.size() + run > whole) {
+                return first.toByteArray();
             }
-            length = in.size();
+            byte[] bytes = new byte[run];
+            in.copy(0, bytes, 0, run);
+            in.skip(run);
+            took(run);
+            first.writeBytes(bytes);
         }
-        if (in.size() < length) {
-            in.fits(length - in.size());
-            return null;
+        return done ? first.toByteArray() : null;
+    }
+
+    /** How many bytes of the body lie at the head of the ring as they are; what frames them is taken off. */
+    int run(Ring in, boolean ended) {
+        if (fault != 0 || done || chunked && left == 0 && !nextChunk(in)) {
+            return 0;
         }
-        return take(in, length);
+        done = left == UNTIL_CLOSE && ended && in.size() == 0;
+        return left == UNTIL_CLOSE ? in.size() : (int) Math.min(left, in.size());
     }
 
-    private static byte[] take(Ring in, int count) {
-        byte[] bytes = new byte[count];
-        in.copy(0, bytes, 0, count);
-        in.skip(count);
-        return bytes;
+    /** So many bytes of the body were taken off the ring. */
+    void took(int count) {
+        came += count;
+        left -= left == UNTIL_CLOSE ? 0 : count;
+        done = left == 0 && !chunked;
+        if (came > most) {
+            fail(413);
+        }
     }
 
-    private byte[] readChunks(Ring in) {
-        while (true) {
-            int end = line(in, 0);
-            if (end < 0) {
-                if (in.size() > MOST_HEAD) {
+    /** Goes on to the next chunk, and past the lines after the last; false where it has not come, or there is none. */
+    private boolean nextChunk(Ring in) {
+        while (!done && fault == 0) {
+            if (chunkEnds) {
+                if (in.size() < 2) {
+                    return false;
+                }
+                chunkEnds = false;
+                if (in.at(0) != '\r' || in.at(1) != '\n') {
                     fail(400);
+                    return false;
                 }
-                return null;
-            }
-            String line = text(in, 0, end);
-            int cut = line.indexOf(';');
-            String digits = (cut < 0 ? line : line.substring(0, cut)).trim();
-            if (!digits.matches("[0-9a-fA-F]{1,8}")) {
-                return fail(400);
-            }
-            long size = Long.parseLong(digits, 16);
-            if (chunks.size() + size > mostBody()) {
-                return fail(413);
-            }
-            if (size == 0) {
-                return readTrailer(in, end + 2);
+                in.skip(2);
             }
-            if (in.size() < end + 2 + size + 2) {
-                return null;
+            int end = line(in);
+            if (end < 0) {
+                if (in.size() > MOST_CHUNK_LINE) {
+                    fail(trailer > 0 ? 431 : 400);
+                }
+                return false;
             }
+            String line = text(in, 0, end);
             in.skip(end + 2);
-            chunks.writeBytes(take(in, (int) size));
-            if (in.at(0) != '\r' || in.at(1) != '\n') {
-                return fail(400);
-            }
-            in.skip(2);
-        }
-    }
-
-    /** What follows the last chunk is read and dropped. */
-    private byte[] readTrailer(Ring in, int from) {
-        for (int at = from; ; ) {
-            int end = line(in, at);
-            if (end < 0) {
-                if (in.size() - from > MOST_HEAD) {
+            if (trailer > 0) { // read and dropped
+                trailer += end + 2;
+                done = end == 0;
+                if (trailer > MOST_HEAD) {
                     fail(431);
                 }
-                return null;
-            }
-            if (end == at) {
-                in.skip(end + 2);
-                return chunks.toByteArray();
+            } else {
+                int cut = line.indexOf(';');
+                String digits = (cut < 0 ? line : line.substring(0, cut)).trim();
+                if (!digits.matches("[0-9a-fA-F]{1,8}")) {
+                    fail(400);
+                    return false;
+                }
+                left = Long.parseLong(digits, 16);
+                if (came + left > most) {
+                    fail(413);
+                    return false;
+                }
+                trailer = left == 0 ? 1 : 0;
+                chunkEnds = left > 0;
+                if (left > 0) {
+                    return true;
+                }
             }
-            at = end + 2;
         }
+        return false;
     }
 
-    private int mostBody() {
-        return requests ? MOST_BODY : MOST_ANSWER;
-    }
-
-    private byte[] fail(int status) {
+    private void fail(int status) {
         fault = status;
-        return null;
     }
 
-    /** Where the line that begins at {@code from} ends, or -1 where its end has not come. */
-    private static int line(Ring in, int from) {
-        for (int i = from; i + 1 < in.size(); i++) {
+    /** Where the line at the head of the ring ends, or -1 where its end has not come. */
+    private int line(Ring in) {
+        for (int i = Math.max(0, scanned - 1); i + 1 < in.size(); i++) {
             if (in.at(i) == '\r' && in.at(i + 1) == '\n') {
+                scanned = 0;
                 return i;
             }
         }
+        scanned = in.size();
         return -1;
     }
 
@@ -219,6 +275,9 @@
 
     private void parse(String[] lines) {
         String[] parts = lines[0].split(" ", requests ? -1 : 3);
+        if (requests && parts.length == 3) { // a proxy's form names the host too: what we pass on does not
+            parts[1] = parts[1].replaceFirst("^https?://[^/?#]+(?=/|$)", "").replaceFirst("^$", "/");
+        }
         Map<String, String> fields = new LinkedHashMap<>();
         boolean good = lines[0].chars().allMatch(c -> c >= ' ' && c != 127) && (requests
                 ? parts.length == 3 && token(parts[0]) && parts[1].matches("/[!-~]*") && parts[2].matches("HTTP/1\\.[01]")
@@ -234,8 +293,9 @@
                 String name = lines[i].substring(0, colon).toLowerCase(java.util.Locale.ROOT);
                 String value = lines[i].substring(colon + 1).trim();
                 String before = fields.put(name, value);
-                good = before == null || !SINGLE.contains(name);
-                if (before != null && good) {
+                boolean same = name.equals("content-length") && value.equals(before); // said twice, and still once
+                good = before == null || same || !SINGLE.contains(name);
+                if (before != null && good && !same) {
                     fields.put(name, before + ", " + value);
                 }
             }
@@ -252,20 +312,24 @@
         String third = parts.length > 2 ? parts[2] : "";
         boolean none = !requests && (parts[1].charAt(0) == '1' || parts[1].equals("204") || parts[1].equals("304"));
         chunked = coding != null && !none;
-        chunks = chunked ? new ByteArrayOutputStream() : null;
         long said = none ? 0 : size != null ? Long.parseLong(size) : requests || chunked ? 0 : UNTIL_CLOSE;
-        if (said > mostBody()) {
+        if (said > most) {
             fail(413);
             return;
         }
-        boolean closes = parts[0].equals("HTTP/1.0") || fields.getOrDefault("connection", "").equalsIgnoreCase("close");
-        if (said == UNTIL_CLOSE && !closes) {
+        Message read = new Message(parts[0], parts[1], third, fields, Message.NOTHING, 0, null);
+        if (said == UNTIL_CLOSE && read.keepsAlive()) {
             fail(400); // its end could not be told from a cut, or would never come
             return;
         }
-        length = (int) said;
-        wantsMore = "100-continue".equalsIgnoreCase(fields.get("expect")) && (chunked || length > 0);
-        head = new Message(parts[0], parts[1], third, fields, Message.NOTHING);
+        left = said;
+        came = 0;
+        done = !chunked && left == 0;
+        chunkEnds = false;
+        trailer = 0;
+        first = chunked || said == UNTIL_CLOSE ? new ByteArrayOutputStream() : null;
+        wantsMore = "100-continue".equalsIgnoreCase(fields.get("expect")) && (chunked || left > 0);
+        head = read;
     }
 
     private static boolean token(String text) {
--- a/src/main/java/dillcross/net/Rehearsal.java
+++ b/src/main/java/dillcross/net/Rehearsal.java
@@ -34,16 +34,14 @@
         Message request = Message.request("POST", "/a/b", Map.of("host", "a", Names.ID, "1"), new byte[100]);
         long now = 1;
         for (int i = 0; i < OPS; i++, now += 1000) {
-            ring.add(request.head());
-            ring.add(request.body());
-            Message read = new Reader(true).read(ring, false);
-            core.arrive(now, read, read, null, categories.get(i % categories.size()).name(), 500_000, false);
+            ring.add(request.start());
+            Message read = new Reader(true, Reader.WHOLE, Reader.WHOLE).read(ring, false);
+            core.arrive(now, read, read, null, categories.get(i % categories.size()).name(), 500_000, false, false);
             for (Order order; (order = core.next(now)) != null;) {
                 if (order instanceof Order.Push push) {
                     Message ok = Message.answer(200, "ok");
-                    ring.add(ok.head());
-                    ring.add(ok.body());
-                    Message answer = new Reader(false).read(ring, false);
+                    ring.add(ok.start());
+                    Message answer = new Reader(false, Reader.WHOLE, Reader.WHOLE).read(ring, false);
                     core.ended(now, push.op(), push.push(), new Ending(push.op() % 50 == 0 ? Ending.Kind.BROKEN
                             : Ending.Kind.ACKED, Reach.WHOLE_WRITTEN, answer));
                 }
--- a/src/main/java/dillcross/net/Ring.java
+++ b/src/main/java/dillcross/net/Ring.java
@@ -16,6 +16,7 @@
     private byte[] bytes = new byte[FIRST];
     private int head; // of the first byte
     private int size;
+    private boolean kept; // its room: a body flows through, and would grow it anew with every read
 
     /** {@code most} is a power of two. */
     Ring(int most, Budget budget) {
@@ -53,12 +54,39 @@
         size -= count;
         if (size == 0) {
             head = 0;
-            if (bytes.length > 8 * FIRST) {
+            if (bytes.length > 8 * FIRST && !kept) {
                 free(); // one large message must not cost for ever
             }
         }
     }
 
+    void keep(boolean now) {
+        kept = now;
+        skip(0);
+    }
+
+    /** How many bytes more fit in, up to a window; it grows for them where the budget has room. */
+    int room(int window) {
+        int want = Math.min(window, most);
+        if (bytes.length < want) {
+            grow(want);
+            starved = false; // it goes on with the room it has
+        }
+        return Math.max(0, Math.min(want, bytes.length) - size);
+    }
+
+    /** Moves so many bytes over from the head of another, for which there is {@link #room}. */
+    void pull(Ring from, int count) {
+        for (int left = count; left > 0;) {
+            int end = (head + size) & (bytes.length - 1);
+            int part = Math.min(left, Math.min(bytes.length - end, from.bytes.length - from.head));
+            System.arraycopy(from.bytes, from.head, bytes, end, part);
+            size += part;
+            left -= part;
+            from.skip(part);
+        }
+    }
+
     /** Copies bytes out and leaves them in. */
     void copy(int from, byte[] to, int at, int count) {
         int start = (head + from) & (bytes.length - 1);
@@ -90,15 +118,16 @@
         return ByteBuffer.wrap(bytes, head, Math.min(size, bytes.length - head)).slice();
     }
 
-    /** Reads what there is room for: how many, or -1 at the end. */
-    int read(SocketChannel from) throws IOException {
+    /** Reads what there is room for in a window: how many, or -1 at the end. */
+    int read(SocketChannel from, int window) throws IOException {
         int all = 0;
-        while (size < most && grow(size + 1)) {
+        int limit = Math.min(window, most);
+        while (size < limit && grow(size + 1)) {
             int end = (head + size) & (bytes.length - 1);
             int space = end < head ? head - end : bytes.length - end;
             int got = from.read(ByteBuffer.wrap(bytes, end, space));
             if (got < 0) {
-                return all > 0 ? all : -1;
+                return all > 0 ? all : -1; // the next read says so again
             }
             size += got;
             all += got;
--- a/src/main/java/dillcross/sidecar/Core.java
+++ b/src/main/java/dillcross/sidecar/Core.java
@@ -25,7 +25,8 @@
 
     /** One push that is out. */
     private static final class Push {
-        final long sentUs;
+        long sentUs; // or, where it went out before, when its op had come whole
+        long begunUs; // when its answer began to be passed on; 0 while it has not
         final String endpoint;
         boolean late; // given up because its time was over
         boolean ended;
@@ -40,15 +41,22 @@
     private static final class Op {
         final Object client;
         final Object content;
-        final long endUs;
+        final long ttlUs;
+        long endUs; // Long.MAX_VALUE while its content still comes: a client's time counts from its last byte
+        boolean again = true; // all of its content can still be pushed
+        Push begun; // whose answer is being passed on, and none but that
         final List<Push> pushes = new ArrayList<>(2);
         int out;
         boolean over;
 
-        Op(Object client, Object content, long endUs) {
+        Op(Object client, Object content, long ttlUs) {
             this.client = client;
             this.content = content;
-            this.endUs = endUs;
+            this.ttlUs = ttlUs;
+        }
+
+        boolean coming() {
+            return endUs == Long.MAX_VALUE;
         }
     }
 
@@ -117,21 +125,73 @@
         logic.listFailed(nowUs);
     }
 
-    /** A client asks; the number by which its op is known from here on. */
+    /**
+     * A client asks; the number by which its op is known from here on. Where it still {@code comes}, {@link #came} is called
+     * with its last byte.
+     */
     public long arrive(long nowUs, Object client, Object content, String tenant, String category, long ttlUs,
-            boolean repeat) {
+            boolean repeat, boolean comes) {
         long id = ++lastOp;
-        ops.put(id, new Op(client, content, nowUs + ttlUs));
-        timer(nowUs + ttlUs, What.OP_ENDS, id, 0);
+        Op op = new Op(client, content, ttlUs);
+        ops.put(id, op);
+        op.endUs = comes ? Long.MAX_VALUE : nowUs + ttlUs;
         logic.arrive(nowUs, id, tenant, category, ttlUs, repeat);
+        if (comes) {
+            logic.content(nowUs, id, false, true);
+        } else {
+            timer(op.endUs, What.OP_ENDS, id, 0);
+        }
         return id;
     }
 
+    /** A part of an op's content was let go: what is out can't be followed by another push. */
+    public void letGo(long nowUs, long id) {
+        Op op = ops.get(id);
+        if (op != null && op.again) {
+            op.again = false;
+            logic.content(nowUs, id, false, false);
+        }
+    }
+
+    /** The last byte of an op's content has come. */
+    public void came(long nowUs, long id) {
+        Op op = ops.get(id);
+        if (op != null && op.coming()) {
+            op.endUs = nowUs + op.ttlUs;
+            op.pushes.stream().filter(push -> !push.ended).forEach(push -> push.sentUs = nowUs);
+            logic.content(nowUs, id, true, op.again);
+            timer(op.endUs, What.OP_ENDS, id, 0);
+        }
+    }
+
+    /** Nobody has taken anything of an op's content for as long as it may take at all: what is out of it is given up. */
+    public void stuck(long nowUs, long id) {
+        Op op = ops.get(id);
+        for (int i = 0; op != null && i < op.pushes.size(); i++) {
+            giveUp(id, op, i, true);
+        }
+    }
+
+    /** The first bytes of a push's answer are there, and more will come; false where nobody wants it any more. */
+    public boolean begun(long nowUs, long id, int number, Object content) {
+        Op op = ops.get(id);
+        Push push = op == null ? null : op.pushes.get(number);
+        if (push == null || push.ended || op.over || op.begun != null || op.coming()) {
+            return false;
+        }
+        op.begun = push;
+        push.begunUs = nowUs;
+        logic.streaming(nowUs, id, number);
+        ready.add(new Order.Pass(op.client, content));
+        return true;
+    }
+
     /** The client has gone. */
     public void left(long nowUs, long id) {
         Op op = ops.get(id);
         if (op != null && !op.over) {
             logic.left(nowUs, id);
+            giveUp(id, op, op.pushes.indexOf(op.begun), false); // the module leaves an answer that has begun to the client
             over(id, op);
         }
     }
@@ -147,12 +207,16 @@
         op.out--;
         Outcome outcome = ending.outcome(push.late);
         boolean passedOn = outcome == Outcome.ACKED || outcome == Outcome.REJECTED; // the endpoint's own word is final
-        if (passedOn && !op.over) {
+        if (op.begun == push && !op.over) {
+            ready.add(new Order.Passed(op.client, outcome == Outcome.ACKED));
+            op.over = true;
+        } else if (passedOn && !op.over && op.begun == null) {
             ready.add(outcome == Outcome.ACKED ? new Order.Ack(op.client, ending.content())
                     : new Order.Reject(op.client, ending.content()));
             op.over = true;
         }
-        logic.ended(nowUs, id, number, outcome, nowUs - push.sentUs, op.over);
+        long untilUs = push.begunUs > 0 ? push.begunUs : nowUs; // how long the rest took is the client's doing as well
+        logic.ended(nowUs, id, number, outcome, untilUs - push.sentUs, op.over);
         if (op.over && op.out == 0) {
             ops.remove(id);
         }
@@ -205,7 +269,7 @@
             case WATCH -> watch(nowUs);
             case PUSH_ENDS -> giveUp(due.op, op, due.push, true);
             case OP_LOST -> {
-                if (op != null && !op.over) { // a fault in the module must not leave a client without an answer
+                if (op != null && !op.over && op.begun == null) { // a fault in the module must not leave a client without an answer
                     ready.add(new Order.DeadLetter(op.client));
                     logic.left(nowUs, due.op);
                     over(due.op, op);
@@ -228,7 +292,8 @@
     }
 
     private void giveUp(long id, Op op, int number, boolean late) {
-        if (op != null && number < op.pushes.size() && !op.pushes.get(number).ended) {
+        if (op != null && number >= 0 && number < op.pushes.size() && !op.pushes.get(number).ended
+                && !(late && op.pushes.get(number) == op.begun)) { // what is being passed on has no limit any more
             op.pushes.get(number).late = late;
             ready.add(new Order.GiveUp(id, number));
         }
@@ -246,8 +311,8 @@
         }
         switch (decision.kind()) {
             case PUSH -> {
-                boolean limited = decision.us() > 0 && decision.us() < op.endUs;
-                long untilUs = limited ? decision.us() : op.endUs;
+                boolean limited = !op.coming() && decision.us() > 0 && decision.us() < op.endUs;
+                long untilUs = limited ? decision.us() : op.coming() ? nowUs + op.ttlUs : op.endUs;
                 int number = op.pushes.size();
                 op.pushes.add(new Push(nowUs, decision.endpoint()));
                 op.out++;
--- a/src/main/java/dillcross/sidecar/Order.java
+++ b/src/main/java/dillcross/sidecar/Order.java
@@ -11,6 +11,12 @@
     /** Pass an acked answer on to the client. */
     record Ack(Object client, Object content) implements Order { }
 
+    /** Pass on to the client an answer that has begun; the rest is passed on as it comes. */
+    record Pass(Object client, Object content) implements Order { }
+
+    /** The answer that is being passed on has come to its end, or was cut. */
+    record Passed(Object client, boolean whole) implements Order { }
+
     /** Tell the client that its op was turned down for what it is; the content is the endpoint's answer. */
     record Reject(Object client, Object content) implements Order { }
 
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -55,7 +55,7 @@
     }
 
     private Order.Push push(String category) {
-        core.arrive(now, "client", "content", null, category, TTL_US, false);
+        core.arrive(now, "client", "content", null, category, TTL_US, false, false);
         return pull().stream().filter(o -> o instanceof Order.Push).map(o -> (Order.Push) o).findFirst().orElseThrow();
     }
 
@@ -217,7 +217,7 @@
         core.list(now, 2, false, all.subList(1, 8), false);
         List<Order> orders = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
-            core.arrive(now, "client", "op", null, "read", TTL_US, false);
+            core.arrive(now, "client", "op", null, "read", TTL_US, false, false);
             for (Order order : pull()) {
                 orders.add(order);
                 if (order instanceof Order.Push push) {
