--- a/src/test/java/dillcross/LogicTest.java
+++ b/src/test/java/dillcross/LogicTest.java
@@ -691,6 +691,77 @@
         assertEquals(left, west > 30, "left for the other " + west + " of 60");
     }
 
+    // ---- Content and answers that flow
+
+    /** What flows, either way, takes no place of other ops and is no silence of its endpoint. */
+    @ParameterizedTest
+    @ValueSource(strings = {"coming", "begun"})
+    void whatFlowsHoldsNobodyUp(String how) {
+        Sidecar s = Sidecar.with("a", "b");
+        s.traffic(60, "a");
+        int flowing = 40;
+        for (int i = 0; i < flowing; i++) {
+            long op = how.equals("coming") ? s.coming("read") : s.arrive("read");
+            s.due.put(op, Long.MAX_VALUE);
+            if (how.equals("begun")) {
+                s.pass(20);
+                s.logic.streaming(s.nowMs * 1000, op, 0);
+                s.pull();
+            }
+        }
+        List<Sent> flow = List.copyOf(s.out);
+        assertEquals(flowing, flow.size(), "each was pushed, none waits");
+        s.pass(1500);
+        assertEquals(flowing, s.out.size(), "nothing was pushed again for silence");
+        long before = s.answers.size();
+        assertTrue(s.traffic(40, "a") > 5 && s.answers.size() - before == 40, "others are served, by both");
+        assertEquals(Set.of(Outcome.ACKED), new HashSet<>(s.ends.values()));
+    }
+
+    /** A push is timed, and its op's TTL counts, from the last byte of its content. */
+    @Test
+    void anOpIsTimedFromItsLastByte() {
+        Sidecar s = Sidecar.with("a", "b");
+        s.traffic(60, "a");
+        long op = s.coming("read");
+        s.pass(5000);
+        assertEquals(1, s.pushes.get(op), "not while it comes");
+        s.content(op, true, true);
+        s.pass(1000);
+        assertEquals(2, s.pushes.get(op), "then its silence tells, and its TTL of 2 s has begun anew");
+    }
+
+    /** What was let go goes nowhere else: neither after a failure nor as a second copy. */
+    @ParameterizedTest
+    @CsvSource({"once, CONNECT_FAILED, NACK", "read, ERROR, NACK", "cell, ERROR, DEAD_LETTER", "cell, CONNECT_FAILED, NACK", "read, SILENCE, NONE"})
+    void whatWasLetGoIsNotPushedAgain(String category, String outcome, String answer) {
+        Sidecar s = Sidecar.with("a", "b");
+        s.traffic(60, "a");
+        long op = s.coming(category);
+        s.content(op, false, false);
+        s.content(op, true, false);
+        if (outcome.equals("SILENCE")) {
+            s.pass(1500);
+        } else {
+            s.end(s.of(op), Outcome.valueOf(outcome));
+        }
+        assertEquals(1, s.pushes.get(op));
+        assertEquals(answer, s.answers.containsKey(op) ? s.answers.get(op).kind().toString() : "NONE");
+    }
+
+    /** Once one answer has begun the copies beside it are called back, and it is not. */
+    @Test
+    void copiesBesideABegunAnswerAreCalledBack() {
+        Sidecar s = Sidecar.with("a", "b");
+        s.traffic(60, "a");
+        long op = s.arrive("read");
+        s.pass(400);
+        assertEquals(2, s.out.size());
+        s.logic.streaming(s.nowMs * 1000, op, 1);
+        s.pull();
+        assertEquals(List.of(1), s.out.stream().map(Sent::number).toList());
+    }
+
     // ---- New settings while it runs
 
     /** An op that is open over a switch, forth and back, keeps the rules it came in with; a new one gets the new ones. */
--- a/src/test/java/dillcross/Sidecar.java
+++ b/src/test/java/dillcross/Sidecar.java
@@ -97,6 +97,20 @@
         return op;
     }
 
+    /** An op whose content still comes, so that its client's time has not begun. */
+    long coming(String category) {
+        long op = ++lastOp;
+        due.put(op, Long.MAX_VALUE);
+        logic.arrive(nowMs * 1000, op, null, category, 2_000_000, false);
+        content(op, false, true);
+        return op;
+    }
+
+    void content(long op, boolean whole, boolean again) {
+        logic.content(nowMs * 1000, op, whole, again);
+        pull();
+    }
+
     /** Ends the push; an ack ends its op with it. */
     void end(Sent push, Outcome outcome) {
         out.remove(push);
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -35,6 +35,7 @@
 /** Starts the built program and speaks to it over loopback, with small stand-ins for endpoints and discovery. */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD) // a read of the log is not ended by an interrupt
 class ServeIT {
+    private static final int LARGE = 12 << 20;
     private static final String BODY = "caf\u00e9 \u0001 body";
     private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
     private final List<AutoCloseable> toClose = new ArrayList<>();
@@ -84,7 +85,14 @@
         private int version = 1;
         private int asked; // the version that the last watch had
 
+        private final boolean echoes; // large bodies, as they came
+
         StandIn() throws IOException {
+            this(false);
+        }
+
+        StandIn(boolean echoes) throws IOException {
+            this.echoes = echoes;
             server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
             start(() -> {
                 while (true) {
@@ -113,6 +121,22 @@
 
         private void serve(Socket socket) throws Exception {
             try (socket) {
+                while (echoes) {
+                    InputStream in = socket.getInputStream();
+                    String head = head(in);
+                    if (head.isEmpty()) {
+                        return;
+                    }
+                    requests.add(head);
+                    byte[] got = head.startsWith("GET") ? BODY.getBytes(StandardCharsets.ISO_8859_1) : body(in, head);
+                    boolean chunks = head.contains("/echo1");
+                    OutputStream out = socket.getOutputStream();
+                    out.write(("HTTP/1.1 200 x\r\n" + (chunks ? "Transfer-Encoding: chunked" : "Content-Length: " + got.length) + "\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
+                    out.write(chunks ? (Integer.toHexString(got.length) + "\r\n").getBytes(StandardCharsets.US_ASCII) : new byte[0]);
+                    out.write(got);
+                    out.write(chunks ? "\r\n0\r\n\r\n".getBytes(StandardCharsets.US_ASCII) : new byte[0]);
+                }
                 for (String m; !(m = message(socket.getInputStream())).isEmpty();) {
                     requests.add(m);
                     String path = m.split(" ")[1];
@@ -126,6 +150,8 @@
                         case "garbled" -> "hello\r\n\r\n";
                         case "reset" -> "";
                         case "large" -> answer(200, "", "x".repeat(400_000));
+                        case "brokenlength" -> "HTTP/1.1 200 x\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(80_000);
+                        case "brokenchunks" -> "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n30000\r\n" + "x".repeat(80_000);
                         case "noise" -> "\u0001\u0002 no answer";
                         case "endless" -> "HTTP/1.1 200 x\r\n\r\nand more";
                         case "huge" -> "HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n" + "x".repeat(100_000);
@@ -145,7 +171,7 @@
                         socket.getOutputStream().write(answer(200, "", "stale").getBytes(StandardCharsets.ISO_8859_1));
                         got.put("written", 1);
                     }
-                    if (List.of("cut", "reset", "garbled").contains(what)) {
+                    if (List.of("cut", "reset", "garbled", "brokenlength", "brokenchunks").contains(what)) {
                         return;
                     }
                 }
@@ -342,6 +368,107 @@
         assertEquals(20, a.got.get("/read/large"));
     }
 
+    private static String digest(byte[] bytes) throws Exception {
+        return java.util.HexFormat.of().formatHex(java.security.MessageDigest.getInstance("SHA-256").digest(bytes));
+    }
+
+    private static byte[] large(int seed) {
+        byte[] bytes = new byte[LARGE];
+        new java.util.Random(seed).nextBytes(bytes);
+        return bytes;
+    }
+
+    /** Reads what follows the head: by its length, or in chunks. */
+    private static byte[] body(InputStream in, String head) throws IOException {
+        Matcher length = Pattern.compile("(?i)content-length: *([0-9]+)").matcher(head);
+        if (length.find()) {
+            return in.readNBytes(Integer.parseInt(length.group(1)));
+        }
+        var all = new java.io.ByteArrayOutputStream();
+        for (int size = 1; size > 0;) {
+            StringBuilder line = new StringBuilder();
+            for (int c; (c = in.read()) != '\n' && c >= 0;) {
+                line.append((char) c);
+            }
+            size = Integer.parseInt(line.toString().trim(), 16);
+            all.writeBytes(in.readNBytes(size));
+            in.readNBytes(2);
+        }
+        return all.toByteArray();
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        for (int c; head.indexOf("\r\n\r\n") < 0 && (c = in.read()) >= 0;) {
+            head.append((char) c);
+        }
+        return head.toString();
+    }
+
+    /** 12 MB both ways on eight connections at once, far more than the heap holds, by length and in chunks; one client reads late. */
+    @Test
+    void largeBodiesFlowBothWays() throws Exception {
+        StandIn echo = new StandIn(true);
+        toClose.add(echo);
+        serving(entry("a", "in_service", echo.address()));
+        List<java.util.concurrent.CompletableFuture<String>> told = new ArrayList<>();
+        CountDownLatch others = new CountDownLatch(7);
+        for (int i = 0; i < 8; i++) {
+            int n = i;
+            Socket socket = connect();
+            told.add(java.util.concurrent.CompletableFuture.supplyAsync(() -> {
+                try {
+                    byte[] sent = large(n);
+                    var out = new java.io.BufferedOutputStream(socket.getOutputStream(), 50_000);
+                    String chunked = n % 2 == 0 ? "Content-Length: " + sent.length : "Transfer-Encoding: chunked";
+                    out.write(("POST /buy/echo" + n % 2 + " HTTP/1.1\r\nHost: a\r\nRequest-Id: big" + n + "\r\nRequest-Timeout-Ms: 2000\r\nIdempotency-Key: k\r\n"
+                            + chunked + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                    for (int at = 0; at < sent.length; at += 60_000) {
+                        int count = Math.min(60_000, sent.length - at);
+                        out.write(n % 2 == 0 ? new byte[0] : (Integer.toHexString(count) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+                        out.write(sent, at, count);
+                        out.write(n % 2 == 0 ? new byte[0] : new byte[] {'\r', '\n'});
+                    }
+                    out.write(n % 2 == 0 ? new byte[0] : "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    out.flush();
+                    String head = head(socket.getInputStream());
+                    if (n == 7) {
+                        others.await(); // whoever reads late holds nobody up
+                    }
+                    byte[] got = body(socket.getInputStream(), head);
+                    others.countDown();
+                    return status(head) + " " + digest(got).equals(digest(sent));
+                } catch (Exception broken) {
+                    throw new IllegalStateException(broken);
+                }
+            }));
+        }
+        for (var one : told) {
+            assertEquals("200 true", one.get());
+        }
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
+        assertEquals(8, sentOnce("/buy/echo0", echo) + sentOnce("/buy/echo1", echo));
+    }
+
+    /** An answer that breaks off after its first bytes went on ends short for the client, and one of the old version is reset. */
+    @ParameterizedTest
+    @ValueSource(strings = {"brokenlength", "brokenchunks"})
+    void aBreakInMidAnswerIsSeen(String what) throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        socket.getOutputStream().write(op("/read/" + what, 2000).getBytes(StandardCharsets.US_ASCII));
+        String head = head(socket.getInputStream());
+        assertEquals("200", status(head));
+        String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertTrue(rest.chars().filter(c -> c == 'x').count() == 80_000 && !rest.endsWith("0\r\n\r\n"), "all that was given, and no end");
+        assertEquals(what.equals("brokenlength"), head.contains("content-length: 900000"), head);
+        Socket old = connect();
+        old.getOutputStream().write(op("/read/brokenchunks", 2000).replace("HTTP/1.1", "HTTP/1.0").getBytes(StandardCharsets.US_ASCII));
+        assertEquals("200", status(head(old.getInputStream())));
+        org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> old.getInputStream().readAllBytes(), "a plain end would pass for a whole");
+        assertEquals("200", status(ask(connect(), op("/read/ok", 2000))));
+    }
+
     /** What comes behind a good answer, with it or late, belongs to nobody: it must not answer the next request. */
     @ParameterizedTest
     @ValueSource(strings = {"twice", "late"})
--- a/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/src/test/java/dillcross/sidecar/CoreTest.java
@@ -109,6 +109,47 @@
         assertEquals(0, core.open());
     }
 
+    /** An answer that has begun is passed on past the TTL, answered once, and how it ended is told; FORGET is the client leaving. */
+    @ParameterizedTest
+    @CsvSource({"ACKED,Pass Passed,true", "BROKEN,Pass Passed,false", "GIVEN_UP,Pass,false"})
+    void anAnswerThatHasBegunHasNoLimit(Ending.Kind end, String answers, boolean whole) {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        Order.Push push = push("read");
+        assertTrue(core.begun(now += 10_000, push.op(), push.push(), "head"));
+        assertFalse(core.begun(now, push.op(), push.push(), "head"), "once");
+        List<Order> orders = pass(20 * TTL_US);
+        assertEquals(0, only(Order.GiveUp.class, orders).size());
+        assertEquals(1, core.open());
+        if (end == Ending.Kind.GIVEN_UP) {
+            core.left(now, push.op());
+        } else {
+            core.ended(now, push.op(), push.push(), new Ending(end, Reach.WHOLE_WRITTEN, "head"));
+        }
+        orders.addAll(pass(TTL_US));
+        assertEquals(answers, answers(orders));
+        only(Order.Passed.class, orders).forEach(p -> assertEquals(whole, p.whole()));
+        assertEquals(0, core.open());
+    }
+
+    /** While its content comes an op has no TTL; what nobody takes is given up all the same. */
+    @Test
+    void theTtlCountsFromTheLastByte() {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        long op = core.arrive(now, "client", "content", null, "buy", TTL_US, false, true);
+        assertEquals("", answers(pass(10 * TTL_US)), "not while it comes");
+        core.letGo(now, op);
+        core.came(now, op);
+        long from = now;
+        assertEquals("DeadLetter", answers(pass(TTL_US)));
+        assertEquals(from + TTL_US, now);
+        reach = Reach.PARTLY_WRITTEN;
+        long stuck = core.arrive(now, "client", "content", null, "buy", TTL_US, false, true);
+        pull();
+        core.letGo(now, stuck);
+        core.stuck(now, stuck);
+        assertEquals("Nack", answers(pull()));
+    }
+
     @Test
     void aClientThatLeftIsOwedNothing() {
         core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
