A ring that found no room goes on once it is emptied

Seen on reading once more: 'starved' stayed set until the ring next grew, so a body that flows while the buffers are used up stopped reading for good (Link.resume asks Ring.full). Test: aStarvedRingGoesOnOnceItIsEmptied.

--- a/src/main/java/dillcross/Logic.java
+++ b/src/main/java/dillcross/Logic.java
@@ -5,9 +5,9 @@
 
 /**
  * Every decision of one sidecar. How to call it: tell it what happened (settings, list, listFailed, arrive,
- * ended, streaming, left, woken), each with the clock in whole microseconds; these only note what is known.
- * Then pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is these
- * methods and the types of {@code dillcross.model}.
+ * content, ended, streaming, left, woken), each with the clock in whole microseconds; these only note what is
+ * known. Then pull {@link #next()} until it is null and carry out each {@link Decision}. Its interface is
+ * these methods and the types of {@code dillcross.model}.
  *
  * <p>The design decides the ordinary path: five failures in a row eject an endpoint, a jittered penalty ends
  * in one real op on probation, a failed probation doubles the penalty, and among the rest two random choices
--- a/src/main/java/dillcross/net/Listener.java
+++ b/src/main/java/dillcross/net/Listener.java
@@ -224,7 +224,7 @@
 
     /** A bad request is answered, its connection closed, and nothing goes further. */
     private void reject(Link link, Message answer) {
-        link.closing = true;
+        link.dropRest(link.mayDrop);
         rests(link);
         write(link, answer);
     }
--- a/src/main/java/dillcross/net/Ring.java
+++ b/src/main/java/dillcross/net/Ring.java
@@ -52,6 +52,7 @@
     void skip(int count) {
         head = (head + count) & (bytes.length - 1);
         size -= count;
+        starved &= count == 0; // there is room again: what flows must not stand still for it
         if (size == 0) {
             head = 0;
             if (bytes.length > 8 * FIRST && !kept) {
--- a/src/test/java/dillcross/net/ReaderTest.java
+++ b/src/test/java/dillcross/net/ReaderTest.java
@@ -220,6 +220,18 @@
         assertFalse(ring.add(new byte[5000]));
     }
 
+    /** A body that flows while the budget is used up goes on with the room its ring has. */
+    @Test
+    void aStarvedRingGoesOnOnceItIsEmptied() {
+        Ring ring = new Ring(1 << 17, new Budget(0));
+        assertTrue(ring.add(new byte[1024]));
+        assertFalse(ring.add(new byte[1]));
+        assertTrue(ring.full() && ring.room(1 << 16) == 0);
+        ring.skip(1000);
+        assertFalse(ring.full());
+        assertEquals(1000, ring.room(1 << 16));
+    }
+
     /** Many large messages at once are bounded by what all rings may take; small ones always fit. */
     @Test
     void ringsShareABudget() {
