--- a/src/main/java/dillcross/net/Link.java
+++ b/src/main/java/dillcross/net/Link.java
@@ -90,8 +90,8 @@
     /** Stops reading while what has come can't go on, or each select would tell of it again. */
     void hold() {
         boolean full = in.full() || reader.flows() && in.size() >= Stream.WINDOW;
-        if (!paused && (full || ended)) {
-            paused = true;
+        if (full || ended) {
+            paused = true; // the transport may have enabled it again with an event of its own
             try {
                 connection.disableIOEvent(IOEvent.READ);
             } catch (IOException gone) {
@@ -102,7 +102,8 @@
 
     /** Reads on, now that there is room again. */
     void resume() {
-        if (paused && !ended && !in.full() && in.size() <= Stream.WINDOW / 2) {
+        boolean behind = reader.flows() && in.size() > Stream.WINDOW / 2;
+        if (paused && !ended && !in.full() && !behind) {
             paused = false;
             try {
                 connection.enableIOEvent(IOEvent.READ);
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/src/test/java/dillcross/cli/ServeIT.java
@@ -368,6 +368,27 @@
         assertEquals(20, a.got.get("/read/large"));
     }
 
+    /** What is sent behind a request that is open waits, more than a ring holds too, and each is answered in its turn. */
+    @Test
+    void pipelinedRequestsWaitTheirTurn() throws Exception {
+        serving(entry("a", "in_service", a.address()));
+        Socket socket = connect();
+        StringBuilder all = new StringBuilder(op("/buy/slow", 2000));
+        for (int kb : new int[] {20, 60, 60, 1}) {
+            all.append(op("/buy/" + kb, 5000).replace("Content-Length: 3\r\n\r\nabc", "Content-Length: " + kb * 1000 + "\r\n\r\n" + "b".repeat(kb * 1000)));
+        }
+        byte[] bytes = all.toString().getBytes(StandardCharsets.US_ASCII);
+        int cut = bytes.length - 5000; // in the fourth, of which the ring holds most by then
+        socket.getOutputStream().write(bytes, 0, cut);
+        for (int i = 0; i < 5; i++) {
+            assertEquals("200", status(message(socket.getInputStream())), "request " + i);
+            if (i == 2) {
+                socket.getOutputStream().write(bytes, cut, bytes.length - cut);
+            }
+        }
+        assertEquals(List.of("/buy/slow", "/buy/20", "/buy/60", "/buy/60", "/buy/1"), a.requests.stream().map(r -> r.split(" ")[1]).toList());
+    }
+
     private static String digest(byte[] bytes) throws Exception {
         return java.util.HexFormat.of().formatHex(java.security.MessageDigest.getInstance("SHA-256").digest(bytes));
     }
