One way to bind, and one to read the door's address

Read once more: the chain of the inherited socket was built beside Node.bind, and admin_addr was looked up in two places of Serve. Behaviour as before; all tests pass. Left: handleRead of door and listener share their first lines, but answer on different sides.

--- a/src/main/java/dillcross/cli/Serve.java
+++ b/src/main/java/dillcross/cli/Serve.java
@@ -39,9 +39,7 @@
         Given read = Given.file(file, System.getenv());
         address(read, "listen");
         address(read, "discovery");
-        if (read.has("admin_addr")) {
-            address(read, "admin_addr");
-        }
+        door(read);
         known(read);
         Given settings = read.below("settings");
         settings.instance(read.seed(), ASKS);
@@ -82,7 +80,7 @@
         Node node = new Node(core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
                 settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()),
                 given.mostBody(), Math.min(Runtime.getRuntime().maxMemory() / 4, given.room()));
-        node.open(given.has("admin_addr") ? address(given, "admin_addr") : null);
+        node.open(door(given));
         Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
@@ -151,6 +149,11 @@
         }
     }
 
+    /** Where operators call; null where they have no door. */
+    private static InetSocketAddress door(Given given) {
+        return given.has("admin_addr") ? address(given, "admin_addr") : null;
+    }
+
     private static InetSocketAddress address(Given given, String key) {
         InetSocketAddress address = Address.parse(given.needed(key));
         if (address == null) {
--- a/src/main/java/dillcross/net/Node.java
+++ b/src/main/java/dillcross/net/Node.java
@@ -121,8 +121,10 @@
         }
     }
 
+    /** To an address, or where it is null to the listening socket that was inherited. */
     private TCPNIOServerConnection bind(InetSocketAddress at, Filter top) throws IOException {
-        return TCPNIOBindingHandler.builder(transport).processor(HttpFilter.chain(true, top)).build().bind(at, BACKLOG);
+        TCPNIOBindingHandler binder = TCPNIOBindingHandler.builder(transport).processor(HttpFilter.chain(true, top)).build();
+        return at == null ? binder.bindToInherited() : binder.bind(at, BACKLOG);
     }
 
     private static String text(TCPNIOServerConnection server) {
@@ -147,8 +149,7 @@
         loop.wake();
         warm.await();
         if (inherited) { // only now: what it accepts it has to serve at once
-            server = TCPNIOBindingHandler.builder(transport).processor(HttpFilter.chain(true, listener)).build()
-                    .bindToInherited();
+            server = bind(null, listener);
             listener.serve(server);
         }
         String at = text(server);
