The sidecar is a module of a reactor; bin/dillcross starts it

Need: an emulator and later subsystems join beside the sidecar, whose jar has to stay lean. Change: what existed moved to sidecar/ with git mv; a parent pom holds versions and plugins; build and run in deploy/balancer.toml follow, class data is made from the root as its archive knows the jar by path; bin/dillcross starts any subcommand; ArchUnit keeps the directions of the packages.

--- /dev/null
+++ b/sidecar/src/test/java/dillcross/PackagesTest.java
@@ -0,0 +1,46 @@
+package dillcross;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Which package may know which: the directions in which the parts depend on each other. */
+class PackagesTest {
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("dillcross");
+    private static final String[] IO = {"java.io..", "java.net..", "java.nio..", "java.util.concurrent..", "java.time..", "org.glassfish.."};
+
+    @Test
+    void theModuleSeesTheModelAlone() {
+        classes().that().resideInAPackage("dillcross").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("dillcross", "dillcross.model", "java.lang..", "java.util", "java.util.stream", "java.util.function").check(CLASSES);
+        classes().that().resideInAPackage("dillcross.model").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("dillcross.model", "java.lang..", "java.util", "java.util.stream", "java.util.function").check(CLASSES);
+    }
+
+    @Test
+    void theCoreHasNoInputOutputAndNoClock() {
+        noClasses().that().resideInAnyPackage("dillcross", "dillcross.sidecar..").should().dependOnClassesThat()
+                .resideInAnyPackage(IO).check(CLASSES);
+        noClasses().that().resideInAnyPackage("dillcross", "dillcross.sidecar..").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(CLASSES);
+    }
+
+    @Test
+    void theNetworkReadsNoClockOfItsOwn() {
+        noClasses().that().resideInAPackage("dillcross.net..").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(CLASSES);
+    }
+
+    @Test
+    void configurationIsReadBelowTheNetwork() {
+        noClasses().that().resideInAnyPackage("dillcross.config..", "dillcross.sidecar..").should().dependOnClassesThat()
+                .resideInAnyPackage("dillcross.net..", "dillcross.simhost..", "dillcross.cli..").check(CLASSES);
+        noClasses().that().resideInAPackage("dillcross.net..").should().dependOnClassesThat()
+                .resideInAnyPackage("dillcross.config..", "dillcross.cli..", "dillcross.simhost..").check(CLASSES);
+    }
+}
--- a/src/test/java/dillcross/cli/ServeIT.java
+++ b/sidecar/src/test/java/dillcross/cli/ServeIT.java
@@ -239,13 +239,13 @@
             config = config.replace(changes[i], changes[i + 1]);
         }
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        Matcher run = Pattern.compile("run = \"exec java (.*) serve\"").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        Matcher run = Pattern.compile("run = \"exec java (.*) serve\"").matcher(Files.readString(Path.of("../deploy/balancer.toml")));
         assertTrue(run.find());
         List<String> command = new ArrayList<>(launcher);
         command.add("" + Path.of(System.getProperty("java.home"), "bin", "java"));
         command.addAll(List.of(run.group(1).split(" ")));
         command.add("serve");
-        ProcessBuilder builder = new ProcessBuilder(command);
+        ProcessBuilder builder = new ProcessBuilder(command).directory(new java.io.File("..")); // as the platform does
         builder.environment().put("NODE_CONFIG", file.toString());
         if (launcher.contains(PLATFORM)) {
             builder.environment().put("NODE_FD", "0");
