The network code stands on an interface; Grizzly is one implementation of it

Need: the emulator has to run the same Listener, Endpoints, Discovery, Door and Link in virtual time. Change: Network, Wire and Part are what the parts stand on; what was RingFilter and HttpFilter is Link and Http, which both wires run; Grizzly's transport, chains and selector loop moved to net.grizzly. Node can be begun and stopped without waiting.

--- a/sidecar/src/main/java/dillcross/cli/Serve.java
+++ b/sidecar/src/main/java/dillcross/cli/Serve.java
@@ -6,6 +6,7 @@
 import dillcross.net.Node;
 import dillcross.net.Rehearsal;
 import dillcross.net.Roster;
+import dillcross.net.grizzly.GrizzlyNetwork;
 import dillcross.sidecar.Core;
 import java.io.IOException;
 import java.lang.invoke.MethodHandleProxies;
@@ -24,6 +25,7 @@
 final class Serve {
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
 
+    private static final int REHEARSALS = 120;
     private static final boolean ASKS = true; // on sockets the list tells nothing unasked, whatever the settings say
 
     private final String file; // null where the environment names it
@@ -77,7 +79,7 @@
         if (known != null) {
             core.list(clock.getAsLong(), known.version(), true, known.entries(), false);
         }
-        Node node = new Node(core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
+        Node node = new Node(new GrizzlyNetwork(), REHEARSALS, core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
                 settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()),
                 given.mostBody(), Math.min(Runtime.getRuntime().maxMemory() / 4, given.room()));
         node.open(door(given));
--- a/sidecar/src/main/java/dillcross/net/Budget.java
+++ b/sidecar/src/main/java/dillcross/net/Budget.java
@@ -15,6 +15,10 @@
         return fits;
     }
 
+    long taken() {
+        return taken;
+    }
+
     void giveBack(int bytes) {
         taken -= bytes;
     }
--- a/sidecar/src/main/java/dillcross/net/Connector.java
+++ b/sidecar/src/main/java/dillcross/net/Connector.java
@@ -2,56 +2,49 @@
 
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.filterchain.Filter;
-import org.glassfish.grizzly.nio.NIOConnection;
-import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
-/** Opens connections under the given top filter. Each has its link before it is up, so that it can be given up. */
-final class Connector extends TCPNIOConnectorHandler {
+/** Opens connections for a part. Each has its link before it is up, so that it can be given up. */
+final class Connector {
+    private final Network network;
+    private final Part part;
     private final Budget budget;
     private final int whole; // bytes of an answer that is handed over whole
     private final long most; // bytes of any
-    private Link opening;
 
-    Connector(TCPNIOTransport transport, Filter top, int whole, long most, Budget budget) {
-        super(transport);
+    Connector(Network network, Part part, int whole, long most, Budget budget) {
+        this.network = network;
+        this.part = part;
         this.whole = whole;
         this.most = most;
         this.budget = budget;
-        setProcessor(HttpFilter.chain(false, top));
-    }
-
-    @Override
-    @SuppressWarnings("rawtypes")
-    protected void preConfigure(Connection connection) {
-        opening = new Link((NIOConnection) connection, false, whole, most, budget);
     }
 
     /** {@code done} hears once, with the link where it is up and with null where it can't be had. */
-    @SuppressWarnings("rawtypes")
     Link open(String address, Consumer<Link> done) {
-        opening = null;
         InetSocketAddress to = Address.parse(address);
         if (to == null) {
             done.accept(null);
             return null;
         }
-        connect(to, new EmptyCompletionHandler<Connection>() {
+        Link[] opening = new Link[1];
+        network.connect(to, new Network.Asker() {
+            @Override
+            public Network.Ear opening(Wire wire) {
+                opening[0] = new Link(wire, part, false, whole, most, budget);
+                return opening[0];
+            }
+
             @Override
-            public void completed(Connection connection) {
-                Link link = Link.of(connection);
-                link.connected = true;
-                done.accept(link);
+            public void up() {
+                opening[0].connected = true;
+                done.accept(opening[0]);
             }
 
             @Override
-            public void failed(Throwable broken) {
+            public void failed() {
                 done.accept(null);
             }
         });
-        return opening;
+        return opening[0];
     }
 }
--- a/sidecar/src/main/java/dillcross/net/Discovery.java
+++ b/sidecar/src/main/java/dillcross/net/Discovery.java
@@ -5,13 +5,9 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
-import org.glassfish.grizzly.filterchain.BaseFilter;
-import org.glassfish.grizzly.filterchain.FilterChainContext;
-import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /** Watches of the list, one at a time, on a connection that is kept. Each is reported once: news, or failed. */
-final class Discovery extends BaseFilter {
+final class Discovery implements Part {
     private static final long GRACE_US = 1_000_000; // beyond a watch's wait, until the call counts as lost
     private static final long PATIENT_US = 3_000_000; // ... where the last one failed too: it may be slow, not silent
 
@@ -28,11 +24,11 @@
     private long limitUs;
     private boolean failing;
 
-    Discovery(TCPNIOTransport transport, Core core, LongSupplier clock, String address, Budget budget) {
+    Discovery(Network network, Core core, LongSupplier clock, String address, Budget budget) {
         this.core = core;
         this.clock = clock;
         this.address = address;
-        connector = new Connector(transport, this, Reader.MOST_LIST, Reader.MOST_LIST, budget);
+        connector = new Connector(network, this, Reader.MOST_LIST, Reader.MOST_LIST, budget);
     }
 
     /** Limits for the calls from now on; the one that is out keeps its own. */
@@ -46,7 +42,7 @@
             return; // the call that is out brings it
         }
         asked = order;
-        if (link != null && link.connection.isOpen() && !link.ended) {
+        if (link != null && link.isOpen() && !link.ended) {
             send(link);
         } else {
             limitUs = clock.getAsLong() + connectUs;
@@ -89,7 +85,7 @@
     private void send(Link on) {
         limitUs = clock.getAsLong() + waitMs * 1000 + (failing ? PATIENT_US : GRACE_US);
         String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + waitMs;
-        on.connection.write(Message.request("GET", target, Map.of("host", address), Message.NOTHING));
+        on.write(Message.request("GET", target, Map.of("host", address), Message.NOTHING));
     }
 
     private void fail() {
@@ -104,9 +100,8 @@
     }
 
     @Override
-    public NextAction handleRead(FilterChainContext ctx) {
-        Link from = Link.of(ctx.getConnection());
-        Message answer = from == link && asked != null && ctx.getMessage() instanceof Message m ? m : null;
+    public void message(Link from, Message message, int fault) {
+        Message answer = from == link && asked != null ? message : null;
         Roster roster = answer != null && answer.status() == 200 ? Roster.parse(answer.body()) : null;
         if (roster == null) {
             if (from == link) {
@@ -124,18 +119,15 @@
             }
             core.list(clock.getAsLong(), roster.version(), roster.whole(), roster.entries(), true);
         }
-        return ctx.getStopAction();
     }
 
     @Override
-    public NextAction handleClose(FilterChainContext ctx) {
-        Link closed = Link.of(ctx.getConnection());
+    public void closed(Link closed) {
         if (closed == link) {
             link = null;
             fail();
         }
         closed.free();
-        return ctx.getInvokeAction();
     }
 
     long dueUs() {
--- a/sidecar/src/main/java/dillcross/net/Door.java
+++ b/sidecar/src/main/java/dillcross/net/Door.java
@@ -4,16 +4,12 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
-import org.glassfish.grizzly.filterchain.BaseFilter;
-import org.glassfish.grizzly.filterchain.FilterChainContext;
-import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * The operators' door, at an address of its own: one call a connection. It has room of its own too, so a crowd of clients
  * can't shut it, and callers that finish no call give way to the next.
  */
-final class Door extends BaseFilter {
+final class Door implements Part, Network.Taker {
     static final int MOST = 8; // connections, descriptors set aside for them
     private static final long CALL_US = 5_000_000; // that one may stay
     private static final Logger LOG = Logger.getLogger(Door.class.getName());
@@ -29,38 +25,33 @@
     }
 
     @Override
-    public NextAction handleAccept(FilterChainContext ctx) {
-        Link link = new Link((NIOConnection) ctx.getConnection(), true, Reader.WHOLE, Reader.WHOLE, budget);
+    public Network.Ear accepted(Wire wire) {
+        Link link = new Link(wire, this, true, Reader.WHOLE, Reader.WHOLE, budget);
         link.connected = true;
         link.idleUs = clock.getAsLong();
         links.add(link);
         if (links.size() > MOST) {
             links.iterator().next().close();
         }
-        return ctx.getInvokeAction();
+        return link;
     }
 
     @Override
-    public NextAction handleClose(FilterChainContext ctx) {
-        Link link = Link.of(ctx.getConnection());
+    public void closed(Link link) {
         links.remove(link);
         link.free();
-        return ctx.getInvokeAction();
     }
 
     @Override
-    public NextAction handleRead(FilterChainContext ctx) {
-        Link link = Link.of(ctx.getConnection());
+    public void message(Link link, Message call, int fault) {
         if (link.ended) {
             link.close();
         } else {
-            Message answer = ctx.getMessage() instanceof Message call ? answer(call)
-                    : Message.answer((Integer) ctx.getMessage(), "malformed call");
+            Message answer = call != null ? answer(call) : Message.answer(fault, "malformed call");
             answer.fields().put("connection", "close");
             link.closing = true;
-            link.connection.write(answer);
+            link.write(answer);
         }
-        return ctx.getStopAction();
     }
 
     private Message answer(Message call) {
--- a/sidecar/src/main/java/dillcross/net/Endpoints.java
+++ b/sidecar/src/main/java/dillcross/net/Endpoints.java
@@ -6,20 +6,16 @@
 import dillcross.sidecar.Reach;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import org.glassfish.grizzly.filterchain.BaseFilter;
-import org.glassfish.grizzly.filterchain.FilterChainContext;
-import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /** Pushes on connections to endpoints. Nothing here is sent twice: each push is written once, and reported once. */
-final class Endpoints extends BaseFilter {
+final class Endpoints implements Part {
     /** One push that is out. */
     private static final class Exchange {
         final Order.Push push;
@@ -58,14 +54,14 @@
     private final Map<Key, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Exchange> connecting = new ArrayDeque<>(); // in the order of their limits
     private final Map<String, Pool> pools = new LinkedHashMap<>(); // by endpoint, until it is to be forgotten
-    private final Set<Link> links = new HashSet<>(); // all that are open or opening
+    private final Set<Link> links = new LinkedHashSet<>(); // all that are open or opening
     private long sweptUs;
 
-    Endpoints(TCPNIOTransport transport, Core core, LongSupplier clock, int most, long mostBody, Budget budget) {
+    Endpoints(Network network, Core core, LongSupplier clock, int most, long mostBody, Budget budget) {
         this.core = core;
         this.clock = clock;
         this.most = most;
-        connector = new Connector(transport, this, Reader.WHOLE, mostBody, budget);
+        connector = new Connector(network, this, Reader.WHOLE, mostBody, budget);
     }
 
     /** Limits for what connects and rests from now on; what is connecting keeps its own. */
@@ -94,7 +90,7 @@
         }
         connecting.add(exchange);
         Link opening = connector.open(push.address(), up -> connected(exchange, up));
-        if (opening != null && opening.connection.isOpen()) {
+        if (opening != null && opening.isOpen()) {
             links.add(opening);
             exchange.link = opening;
         }
@@ -133,7 +129,7 @@
      * and a request that crosses that is lost, so we close before it does.
      */
     private boolean usable(Link link) {
-        if (link.connection.isOpen() && !link.ended && clock.getAsLong() - link.idleUs < idleUs) {
+        if (link.isOpen() && !link.ended && clock.getAsLong() - link.idleUs < idleUs) {
             link.fill();
             return !link.ended && link.in.size() == 0;
         }
@@ -173,8 +169,8 @@
         Map<String, String> fields = request.passedOn();
         long waitMs = Math.max(1, (exchange.push.untilUs() - clock.getAsLong()) / 1000);
         fields.put(Names.TIMEOUT, String.valueOf(waitMs));
-        link.connection.write(request.as(Message.request(request.first(), request.second(), fields, Message.NOTHING)));
-        if (request.flows() && link.connection.isOpen()) {
+        link.write(request.as(Message.request(request.first(), request.second(), fields, Message.NOTHING)));
+        if (request.flows() && link.isOpen()) {
             long op = exchange.push.op();
             new Stream(request.from(), link, request.rest() == Message.UNKNOWN, new Stream.Owner() {
                 @Override
@@ -248,14 +244,12 @@
     }
 
     @Override
-    public NextAction handleRead(FilterChainContext ctx) {
-        Link link = Link.of(ctx.getConnection());
+    public void message(Link link, Message answer, int fault) {
         Exchange exchange = (Exchange) link.user;
-        if (exchange == null || !(ctx.getMessage() instanceof Message)) {
+        if (exchange == null || answer == null) {
             close(link); // an answer that nobody asked for, or one that can't be read
-            return ctx.getStopAction();
+            return;
         }
-        Message answer = ctx.getMessage();
         if (!answer.flows() || kind(answer) != Ending.Kind.ACKED) {
             end(exchange, kind(answer), answer);
         } else if (core.begun(clock.getAsLong(), exchange.push.op(), exchange.push.push(), answer)) {
@@ -264,7 +258,6 @@
         } else {
             end(exchange, Ending.Kind.ERROR, null); // nobody waits for it any more
         }
-        return ctx.getStopAction();
     }
 
     /** The rest of an answer that has begun goes on to that link. */
@@ -297,8 +290,7 @@
     }
 
     @Override
-    public NextAction handleClose(FilterChainContext ctx) {
-        Link link = Link.of(ctx.getConnection());
+    public void closed(Link link) {
         links.remove(link);
         if (link.user != null) {
             end((Exchange) link.user, Ending.Kind.BROKEN, null);
@@ -306,7 +298,11 @@
             link.pooled.remove(link); // the endpoint closed it while it was free
         }
         link.free();
-        return ctx.getInvokeAction();
+    }
+
+    /** Pushes that are out. */
+    int exchanges() {
+        return exchanges.size();
     }
 
     boolean busy() {
--- a/sidecar/src/main/java/dillcross/net/Link.java
+++ b/sidecar/src/main/java/dillcross/net/Link.java
@@ -1,30 +1,17 @@
 package dillcross.net;
 
 import java.io.IOException;
-import java.net.SocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import java.util.Collection;
-import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.IOEvent;
-import org.glassfish.grizzly.WriteResult;
-import org.glassfish.grizzly.asyncqueue.WritableMessage;
-import org.glassfish.grizzly.attributes.Attribute;
-import org.glassfish.grizzly.memory.Buffers;
-import org.glassfish.grizzly.nio.NIOConnection;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /** One connection: its two rings, what is read from them, and whom it serves at the moment. */
-final class Link {
+final class Link implements Network.Ear, Wire.Sent {
     private static final int MOST_DROPPED = 1 << 20; // of what still comes after a last answer
     private static final ByteBuffer DROPPED = ByteBuffer.allocate(32 << 10); // nobody looks at it
-    private static final Attribute<Link> OF = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("dillcross.link");
 
-    final NIOConnection connection;
+    private final Wire wire;
+    final Part part; // that it serves
+    private final boolean server;
     final Ring in;
     final Ring out;
     final Reader reader;
@@ -48,26 +35,43 @@
     long partialUs; // since when it holds a part of a message; 0 while it does not
     private boolean unsent; // there was no room for its last message
     private boolean writing;
+    private int handed; // bytes of the ring that are being written
 
     /** Of which messages come whole up to that size; larger ones, up to {@code most}, flow. */
-    Link(NIOConnection connection, boolean requests, int whole, long most, Budget budget) {
-        this.connection = connection;
+    Link(Wire wire, Part part, boolean requests, int whole, long most, Budget budget) {
+        this.wire = wire;
+        this.part = part;
+        server = requests;
         // The largest whole message, its framing, and what may come before it is read.
         in = new Ring(2 * whole, budget);
         out = new Ring(2 * Reader.WHOLE, budget);
         reader = new Reader(requests, whole, most);
-        OF.set(connection, this);
     }
 
-    static Link of(Connection<?> connection) {
-        return OF.get(connection);
+    @Override
+    public void readable() {
+        fill();
+        Http.read(this, server);
+    }
+
+    @Override
+    public void closed() {
+        part.closed(this);
+    }
+
+    boolean isOpen() {
+        return wire.isOpen();
+    }
+
+    /** Sends a message. */
+    void write(Message message) {
+        Http.write(this, message);
     }
 
     /** Reads what has come into the ring; the end of the other side's sending is noted, not thrown. */
     void fill() {
-        SocketChannel from = (SocketChannel) connection.getChannel();
         try {
-            int got = closing ? drop(from) : in.read(from, reader.flows() ? Stream.WINDOW : Integer.MAX_VALUE);
+            int got = closing ? drop() : in.read(wire, reader.flows() ? Stream.WINDOW : Integer.MAX_VALUE);
             moved += Math.max(0, got);
             ended |= got < 0;
         } catch (IOException e) {
@@ -80,9 +84,9 @@
      * Reads on after a last answer, so that no reset overtakes it, but not for ever: who has 60 MB to send would take the
      * time of the others.
      */
-    private int drop(SocketChannel from) throws IOException {
+    private int drop() throws IOException {
         in.skip(in.size());
-        int got = from.read(DROPPED.clear());
+        int got = wire.read(DROPPED.clear());
         dropped += Math.max(0, got);
         return dropped > mayDrop ? -1 : got;
     }
@@ -93,7 +97,7 @@
         if (full || ended) {
             paused = true; // the transport may have enabled it again with an event of its own
             try {
-                connection.disableIOEvent(IOEvent.READ);
+                wire.tells(false);
             } catch (IOException gone) {
                 close();
             }
@@ -106,7 +110,7 @@
         if (paused && !ended && !in.full() && !behind) {
             paused = false;
             try {
-                connection.enableIOEvent(IOEvent.READ);
+                wire.tells(true);
             } catch (IOException gone) {
                 close();
             }
@@ -144,7 +148,7 @@
     /** Ends it so that the other side can't take what came for the whole. */
     void cut() {
         try {
-            ((SocketChannel) connection.getChannel()).setOption(StandardSocketOptions.SO_LINGER, 0);
+            wire.cuts();
         } catch (IOException gone) {
             closing = true;
         }
@@ -166,42 +170,48 @@
         return connected && !unsent && sink == null && out.size() == 0;
     }
 
-    /** Hands the ring's bytes to the transport, run by run; its queue takes over where the socket is full. */
+    /** Hands the ring's bytes to the wire, run by run; it takes over what the other side has no room for yet. */
     void flush() {
-        if (writing || out.size() == 0) {
-            return;
+        if (!writing && out.size() > 0) {
+            ByteBuffer run = out.run();
+            handed = run.remaining();
+            writing = true;
+            wire.write(run, this);
+        }
+    }
+
+    @Override
+    public void sent() {
+        writing = false;
+        out.skip(handed);
+        moved += handed;
+        flush();
+        if (sink != null) {
+            sink.pump();
+        }
+        if (closing && out.size() == 0) {
+            endSending();
+        }
+    }
+
+    @Override
+    public void broke() {
+        close(); // what is left in the ring says how far it came
+    }
+
+    /** What came while its last message was carried out waits in the ring. */
+    void again() {
+        try {
+            wire.again();
+        } catch (IOException gone) {
+            close();
         }
-        TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
-        Buffer run = Buffers.wrap(transport.getMemoryManager(), out.run());
-        int size = run.remaining();
-        writing = true;
-        transport.getAsyncQueueIO().getWriter().write(connection, run,
-                new EmptyCompletionHandler<WriteResult<WritableMessage, SocketAddress>>() {
-                    @Override
-                    public void completed(WriteResult<WritableMessage, SocketAddress> result) {
-                        writing = false;
-                        out.skip(size);
-                        moved += size;
-                        flush();
-                        if (sink != null) {
-                            sink.pump();
-                        }
-                        if (closing && out.size() == 0) {
-                            endSending();
-                        }
-                    }
-
-                    @Override
-                    public void failed(Throwable broken) {
-                        close(); // what is left in the ring says how far it came
-                    }
-                });
     }
 
     /** Ends our sending; the other side then closes. Closing at once could destroy what it has not read yet. */
     private void endSending() {
         try {
-            ((SocketChannel) connection.getChannel()).shutdownOutput();
+            wire.endSending();
         } catch (IOException gone) {
             close();
         }
@@ -214,6 +224,6 @@
     }
 
     void close() {
-        connection.terminateSilently();
+        wire.close();
     }
 }
--- a/sidecar/src/main/java/dillcross/net/Listener.java
+++ b/sidecar/src/main/java/dillcross/net/Listener.java
@@ -11,15 +11,9 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
-import org.glassfish.grizzly.IOEvent;
-import org.glassfish.grizzly.filterchain.BaseFilter;
-import org.glassfish.grizzly.filterchain.FilterChainContext;
-import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.nio.NIOConnection;
-import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
 /** The clients' side: requests to ops, answers to clients. */
-final class Listener extends BaseFilter {
+final class Listener implements Part, Network.Taker {
     private static final long LINGER_US = 500_000; // for the other side to read a last answer and close
     private static final long BRING_US = 2_000_000; // that a request may take to come, or an answer to be read
     private static final long HEAD_US = 2_500_000; // ... or its head
@@ -41,7 +35,7 @@
     private final Budget budget;
     private final Set<Link> links = new LinkedHashSet<>(); // those that carry nothing in the order since when
     private final Set<String> open = new HashSet<>(); // ids of requests that wait for their answer
-    private TCPNIOServerConnection server;
+    private Network.Entrance server;
     private boolean paused;
     private long loggedUs;
     private final Life life;
@@ -61,22 +55,22 @@
         mostTtlUs = longestTtlUs;
     }
 
-    void serve(TCPNIOServerConnection on) {
+    void serve(Network.Entrance on) {
         server = on;
     }
 
     // ---- Connections
 
     @Override
-    public NextAction handleAccept(FilterChainContext ctx) {
-        Link link = new Link((NIOConnection) ctx.getConnection(), true, Reader.WHOLE, mostBody, budget);
+    public Network.Ear accepted(Wire wire) {
+        Link link = new Link(wire, this, true, Reader.WHOLE, mostBody, budget);
         link.connected = true;
         link.idleUs = clock.getAsLong();
         links.add(link);
         if (links.size() >= most && !closeOne(link)) {
             pause(true); // at the limit an accept would fail, and fail again, and spin
         }
-        return ctx.getInvokeAction();
+        return link;
     }
 
     /** It carries nothing, and nothing is lost when it is closed. */
@@ -91,7 +85,7 @@
     private boolean closeOne(Link but) {
         Link last = null;
         for (Link link : links) {
-            if (link != but && link.user == null && link.out.size() == 0 && link.connection.isOpen()) {
+            if (link != but && link.user == null && link.out.size() == 0 && link.isOpen()) {
                 long mayUs = link.asked > 0 ? RECENT_US : link.partial() ? BEGUN_US : NEW_US;
                 if (clock.getAsLong() - link.idleUs > mayUs) {
                     last = link;
@@ -120,9 +114,9 @@
                         loggedUs = clock.getAsLong();
                         LOG.warning("at the limit of client connections, all with open requests; new ones wait");
                     }
-                    server.disableIOEvent(IOEvent.SERVER_ACCEPT);
+                    server.accepts(false);
                 } else {
-                    server.enableIOEvent(IOEvent.SERVER_ACCEPT);
+                    server.accepts(true);
                 }
             } catch (java.io.IOException closed) {
                 paused = false;
@@ -131,8 +125,7 @@
     }
 
     @Override
-    public NextAction handleClose(FilterChainContext ctx) {
-        Link link = Link.of(ctx.getConnection());
+    public void closed(Link link) {
         links.remove(link);
         if (link.user instanceof Waiting waiting) {
             link.user = null;
@@ -141,22 +134,19 @@
         }
         pause(false);
         link.free();
-        return ctx.getInvokeAction();
     }
 
     // ---- Requests
 
     @Override
-    public NextAction handleRead(FilterChainContext ctx) {
-        Link link = Link.of(ctx.getConnection());
+    public void message(Link link, Message request, int fault) {
         if (link.ended) {
             link.close(); // a client that closes has gone
-        } else if (ctx.getMessage() instanceof Message request) {
+        } else if (request != null) {
             request(link, request);
         } else {
-            reject(link, Message.answer((Integer) ctx.getMessage(), "malformed request, or no room for it"));
+            reject(link, Message.answer(fault, "malformed request, or no room for it"));
         }
-        return ctx.getStopAction();
     }
 
     private void request(Link link, Message request) {
@@ -259,7 +249,7 @@
         if (!link.closing) {
             link.resume();
             if (link.in.size() > 0) {
-                next(link);
+                link.again();
             }
         }
     }
@@ -272,7 +262,7 @@
         if (link.closesAfter) {
             head.fields().put("connection", "close");
         }
-        link.connection.write(head);
+        link.write(head);
         return head.rest() == Message.UNKNOWN;
     }
 
@@ -298,20 +288,11 @@
         links.add(link);
     }
 
-    /** What came while this one was carried out waits in the ring. */
-    private static void next(Link link) {
-        try {
-            link.connection.simulateIOEvent(IOEvent.READ);
-        } catch (java.io.IOException closed) {
-            link.close();
-        }
-    }
-
     private static void write(Link link, Message answer) {
         if (link.closing) {
             answer.fields().put("connection", "close");
         }
-        link.connection.write(answer);
+        link.write(answer);
     }
 
     // ---- The end
@@ -320,9 +301,9 @@
     void stopAccepting(boolean shared) {
         try {
             if (server != null && shared) {
-                server.disableIOEvent(IOEvent.SERVER_ACCEPT);
+                server.accepts(false);
             } else if (server != null) {
-                server.closeSilently();
+                server.close();
             }
         } catch (java.io.IOException closed) {
             LOG.fine("the listening socket has gone already");
@@ -330,6 +311,11 @@
         server = null; // nothing makes it accept again
     }
 
+    /** Requests that wait for their answer. */
+    int open() {
+        return open.size();
+    }
+
     boolean drained() {
         return links.stream().allMatch(l -> l.user == null && l.out.size() == 0 && !l.reader.within());
     }
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -6,7 +6,6 @@
 import dillcross.sidecar.Order;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Queue;
@@ -17,21 +16,12 @@
 import java.util.function.ObjLongConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import org.glassfish.grizzly.filterchain.Filter;
-import org.glassfish.grizzly.memory.HeapMemoryManager;
-import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
-import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
-/** The running sidecar: its transport with one selector thread, and the parts that the thread works for. */
-public final class Node {
+/** The running sidecar: the parts that the network's one thread works for, and their turns. */
+public final class Node implements Network.Turns {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
-    private static final int REHEARSALS = 120;
     private static final long MOST_REHEARSAL_US = 1_000_000;
     private static final int MOST_TRACES = 20;
-    private static final int BACKLOG = 1024;
     private static final int SPARE_DESCRIPTORS = 48; // files, selector, listening socket, list, and what closes
     private static final long ACCEPT_US = 500_000; // after the order to stop, new connections still come
     private static final long QUIET_US = 150_000;
@@ -39,22 +29,24 @@
 
     private final Core core;
     private final LongSupplier clock;
-    private final TCPNIOTransport transport;
+    private final Network network;
     private final Listener listener;
     private final Endpoints endpoints;
     private final Discovery discovery;
+    private final Budget budget; // of all rings
     private final CountDownLatch warm = new CountDownLatch(1);
     private final CountDownLatch done = new CountDownLatch(1);
-    private final Loop loop = new Loop(this::look, this::turn, this::dueInUs);
     private final Life life = new Life(); // the selector thread's alone
     private final Door door = new Door(life, this::now);
     private volatile long mostTtlUs; // of all settings so far: an op may be open from any of them
     private final Queue<Runnable> changes = new ConcurrentLinkedQueue<>(); // to carry out between two turns
     private String doorIs; // the operators' address; null where they have none
     private String self; // the address at which it asks itself to get warm; null where there is none
+    private volatile Network.Entrance entrance; // the clients'
     private volatile boolean starting; // the two above are set
     private volatile boolean inherited; // the listening socket: another process may accept from it too
     private final long startedUs;
+    private final int rehearsals;
     private long rehearsed;
     private long sweptUs;
     private int faults;
@@ -62,23 +54,21 @@
     private boolean accepting = true;
     private boolean swept; // at the end of accepting
 
-    public Node(Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
+    /** {@code calls} to itself it makes before it is ready, over its own network and through every part. */
+    public Node(Network network, int calls, Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
             long connectUs, long keepUs, long watchMs, int descriptors, long mostBody, long room) {
+        this.network = network;
+        rehearsals = calls;
         this.core = core;
         this.clock = clock;
         look();
         startedUs = now;
-        TCPNIOTransportBuilder builder = TCPNIOTransportBuilder.newInstance();
-        builder.setName("dillcross").setIOStrategy(SameThreadIOStrategy.getInstance()).setSelectorRunnersCount(1)
-                .setMemoryManager(new HeapMemoryManager()).setSelectorHandler(loop);
-        builder.setTcpNoDelay(true).setReuseAddress(true).setKeepAlive(false);
-        transport = builder.build();
-        Budget budget = new Budget(room);
+        budget = new Budget(room);
         // Clients need more: some ask once and stay, some say nothing; an endpoint's connection serves one op after another.
         int third = (descriptors - SPARE_DESCRIPTORS) / 3;
         listener = new Listener(core, life, this::now, 2 * third, mostBody, budget);
-        endpoints = new Endpoints(transport, core, this::now, third, mostBody, budget);
-        discovery = new Discovery(transport, core, this::now, discoveryAddress, budget);
+        endpoints = new Endpoints(network, core, this::now, third, mostBody, budget);
+        discovery = new Discovery(network, core, this::now, discoveryAddress, budget);
         limits(categories, mostTtlUs, connectUs, keepUs, watchMs);
     }
 
@@ -108,55 +98,54 @@
                 made.countDown(); // a fault in it is logged by the turn, and must not hold later reloads
             }
         });
-        loop.wake();
+        network.wake();
         made.await();
     }
 
     /** Begins to turn, and opens the operators' door if they have one: they may ask from the first moment on. */
     public void open(InetSocketAddress doorAt) throws IOException {
-        transport.start();
+        network.start(this);
         if (doorAt != null) {
-            doorIs = text(bind(doorAt, door));
+            doorIs = network.bind(doorAt, door).address();
             LOG.info(() -> "operators' door on " + doorIs);
         }
     }
 
-    /** To an address, or where it is null to the listening socket that was inherited. */
-    private TCPNIOServerConnection bind(InetSocketAddress at, Filter top) throws IOException {
-        TCPNIOBindingHandler binder = TCPNIOBindingHandler.builder(transport).processor(HttpFilter.chain(true, top)).build();
-        return at == null ? binder.bindToInherited() : binder.bind(at, BACKLOG);
-    }
-
-    private static String text(TCPNIOServerConnection server) {
-        InetSocketAddress own = (InetSocketAddress) server.getLocalAddress();
-        return own.getAddress().getHostAddress() + ":" + own.getPort();
-    }
-
     /** Warms up and serves at that address, or where it is null on the listening socket that this process inherited. */
     public void start(InetSocketAddress listen) throws IOException, InterruptedException {
+        begin(listen);
+        warm.await();
+        if (inherited) { // only now: what it accepts it has to serve at once
+            entrance = network.bind(null, listener);
+            listener.serve(entrance);
+        }
+        between(this::ready);
+    }
+
+    /** Listens and has itself warmed up by the turns; {@link #ready} is called once it is {@link #warm}. */
+    public void begin(InetSocketAddress listen) throws IOException {
         inherited = listen == null;
-        TCPNIOServerConnection server = null;
         if (!inherited) {
-            server = bind(listen, listener);
-            listener.serve(server);
-            self = text(server);
-        } else if (System.inheritedChannel() instanceof ServerSocketChannel) {
+            entrance = network.bind(listen, listener);
+            listener.serve(entrance);
+            self = entrance.address();
+        } else if (network.inherits()) {
             self = doorIs; // through the clients' socket the process before this one would be asked
         } else {
             throw new IOException("NODE_FD names no listening socket that can be taken over (descriptor 0)");
         }
         starting = true;
-        loop.wake();
-        warm.await();
-        if (inherited) { // only now: what it accepts it has to serve at once
-            server = bind(null, listener);
-            listener.serve(server);
-        }
-        String at = text(server);
-        between(() -> {
-            life.ready(now);
-            LOG.info(() -> "ready on " + at + " after " + (now - startedUs) / 1000 + " ms");
-        });
+        network.wake();
+    }
+
+    public boolean warm() {
+        return warm.getCount() == 0;
+    }
+
+    /** Says yes to those who ask whether it serves; to be called between two turns. */
+    public void ready() {
+        life.ready(now);
+        LOG.info(() -> "ready on " + entrance.address() + " after " + (now - startedUs) / 1000 + " ms");
     }
 
     /**
@@ -164,7 +153,7 @@
      * The answers belong to no op, so the core passes them over.
      */
     private void rehearse() {
-        boolean enough = rehearsed >= REHEARSALS || now - startedUs > MOST_REHEARSAL_US;
+        boolean enough = rehearsed >= rehearsals || now - startedUs > MOST_REHEARSAL_US;
         enough |= self == null;
         if (!enough && endpoints.busy()) {
             return;
@@ -187,15 +176,33 @@
 
     /** Stops accepting when new connections have ceased to come, answers what it has taken, then is done. */
     public void stop() throws InterruptedException {
+        askStop();
+        done.await(mostTtlUs + 2 * ACCEPT_US, TimeUnit.MICROSECONDS); // the loop may not have started
+    }
+
+    /** Has the next turn begin to stop; it is {@link #done} some turns later. */
+    public void askStop() {
         changes.add(() -> {
             life.stop(now);
             LOG.info("stopping");
         });
-        loop.wake();
-        done.await(mostTtlUs + 2 * ACCEPT_US, TimeUnit.MICROSECONDS); // the loop may not have started
+        network.wake();
+    }
+
+    public boolean done() {
+        return done.getCount() == 0;
     }
 
-    private void look() {
+    /** What it holds at the moment; when nothing is carried out all of it is 0 but for connections that rest. */
+    public Held held() {
+        return new Held(core.held(), endpoints.exchanges(), listener.open(), budget.taken(), faults);
+    }
+
+    /** Ops and pushes in the core, pushes and requests on the network, bytes of the buffers' limit, and turns that failed. */
+    public record Held(int ops, int pushes, int requests, long bytes, int faults) { }
+
+    @Override
+    public void look() {
         now = clock.getAsLong();
     }
 
@@ -203,12 +210,14 @@
         return now;
     }
 
-    private long dueInUs() {
+    @Override
+    public long dueInUs() {
         long due = Math.min(core.dueUs(), Math.min(endpoints.dueUs(), discovery.dueUs()));
         return Math.min(due - clock.getAsLong(), life.stopping() ? 5_000 : SWEEP_US);
     }
 
-    private void turn() {
+    @Override
+    public void turn() {
         try {
             look();
             endpoints.sweep(now);
--- a/sidecar/src/main/java/dillcross/net/Ring.java
+++ b/sidecar/src/main/java/dillcross/net/Ring.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 
 /**
  * Bytes of one connection in one direction. Starts small, which is free, and doubles up to a limit while the budget of
@@ -120,7 +119,7 @@
     }
 
     /** Reads what there is room for in a window: how many, or -1 at the end. */
-    int read(SocketChannel from, int window) throws IOException {
+    int read(Wire from, int window) throws IOException {
         int all = 0;
         int limit = Math.min(window, most);
         while (size < limit && grow(size + 1)) {
--- a/sidecar/src/main/java/dillcross/net/Loop.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/Loop.java
@@ -1,10 +1,10 @@
-package dillcross.net;
+package dillcross.net.grizzly;
 
+import dillcross.net.Network;
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.Set;
-import java.util.function.LongSupplier;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
 
@@ -13,16 +13,11 @@
  * hands all of it to the module in one go and carries out what came back.
  */
 final class Loop extends DefaultSelectorHandler {
-    private final Runnable look;
-    private final Runnable turn;
-    private final LongSupplier dueInUs; // until the next timer
+    private final Network.Turns turns;
     private volatile Selector selector;
 
-    /** {@code look} reads the clock, once for all that is gathered. */
-    Loop(Runnable look, Runnable turn, LongSupplier dueInUs) {
-        this.look = look;
-        this.turn = turn;
-        this.dueInUs = dueInUs;
+    Loop(Network.Turns turns) {
+        this.turns = turns;
     }
 
     /** From another thread: has a turn made now. */
@@ -36,20 +31,20 @@
     @Override
     public boolean preSelect(SelectorRunner runner) throws IOException {
         boolean go = super.preSelect(runner);
-        turn.run();
+        turns.turn();
         return go;
     }
 
     @Override
     public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
         selector = runner.getSelector();
-        long us = dueInUs.getAsLong();
+        long us = turns.dueInUs();
         if (us <= 0 || !runner.getPostponedTasks().isEmpty()) {
             selector.selectNow();
         } else {
             selector.select(Math.min(getSelectTimeout(), (us + 999) / 1000));
         }
-        look.run();
+        turns.look();
         return selector.selectedKeys();
     }
 }
--- a/sidecar/src/main/java/dillcross/sidecar/Core.java
+++ b/sidecar/src/main/java/dillcross/sidecar/Core.java
@@ -242,6 +242,11 @@
         return ops.values().stream().filter(op -> !op.over).count();
     }
 
+    /** Ops that are kept: open ones, and those that are over with a push still out. */
+    public int held() {
+        return ops.size();
+    }
+
     // ---- Orders
 
     /** The next thing to carry out, or null when there is none. */
