--- a/sidecar/src/main/java/dillcross/Logic.java
+++ b/sidecar/src/main/java/dillcross/Logic.java
@@ -44,6 +44,7 @@
     private static final double SPARE_SHARE = 0.2; // further pushes that a first push pays for
     private static final double SPARE_MOST = 20;
     private static final double WAIT_SHARE = 0.3; // of the target latency that an op waits for room at least
+    private static final double REMEMBERED = 0.9; // of the time that a group remembers an op
     private static final double COLD_PART = 0.7; // of our part of a cold endpoint's budget
     private static final double LEAST_USED = 1.5; // mean sizes of a location that a sidecar uses at the least
     private static final double USED = 0.25; // of them for each op a second, so that each is heard of in time
@@ -630,9 +631,7 @@
         List<Server> ring = servers.values().stream().filter(s -> s.listed)
                 .sorted(Comparator.comparingLong(s -> s.place)).toList();
         ring.forEach(s -> (s.out ? ejected : in).add(s));
-        if (in.isEmpty()) {
-            in.addAll(ejected); // the design: with every endpoint ejected, pick as if none were
-        }
+        in.addAll(in.isEmpty() ? ejected : List.of()); // the design: all ejected is as none
         Collections.rotate(in, -(int) (spot * in.size())); // or all whose own are full turn to the same one
         Map<String, List<Server>> zones = new HashMap<>();
         ring.forEach(s -> zones.computeIfAbsent(s.is.zone(), z -> new ArrayList<>()).add(s));
@@ -716,9 +715,8 @@
 
     /** Probation takes an op that can go elsewhere should it fail, one at a time for an endpoint. */
     private boolean onProbation(Op op) {
-        return ejected.stream().anyMatch(s -> s.out && s.probation == null
-                && now >= Math.max(s.untilUs, s.holdUs) && (op.redeliverable()
-                || now > s.untilUs + s.penaltyUs) && push(op, s, true));
+        return ejected.stream().anyMatch(s -> s.out && s.probation == null && now >= s.holdUs
+                && now >= s.untilUs + (op.redeliverable() ? 0 : s.penaltyUs) && push(op, s, true));
     }
 
     /** Final answer for an op that gets no further push: a nack where the rule on effects lets us promise. */
@@ -733,10 +731,8 @@
     // ---- The pick
 
     private Server pick(Op op) {
-        if (op.risky() && !op.redeliverable()) {
-            return least(op); // few endpoints may take it: draws would miss them
-        }
-        Server best = better(better(draw(op, near), draw(op, near)), better(draw(op, far), draw(op, far)));
+        Server best = op.risky() && !op.redeliverable() ? null // draws would miss the few that may
+                : better(better(draw(op, near), draw(op, near)), better(draw(op, far), draw(op, far)));
         return best != null ? best : least(op);
     }
 
@@ -799,7 +795,11 @@
         }
         // Where no copy may go beside it, a silent endpoint would hold the op until its TTL.
         boolean limit = !op.rule.copies() && op.pushes.size() < op.rule.most() && op.redeliverable();
-        ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueAfter(push) : 0));
+        // A repeat ends with its group's memory: what is on its way then could run a second time.
+        long byUs = first || op.is.effect() != Effect.DEDUPLICATED ? 0
+                : (long) (REMEMBERED * op.is.windowUs()) + op.pushes.stream()
+                .filter(p -> p != push && p.risky()).mapToLong(p -> p.sentUs).min().orElse(op.endUs);
+        ready.add(Decision.push(op.id, s.is.id(), limit ? now + overdueAfter(push) : byUs));
         return true;
     }
 
@@ -841,7 +841,7 @@
     private boolean repeatable(Op op, Server s) {
         Category c = op.is;
         return c.effect() == Effect.REDELIVERABLE || op.pushes.stream().filter(Push::risky)
-                .allMatch(p -> c.effect() == Effect.DEDUPLICATED && now - p.sentUs <= c.windowUs() * 0.9
+                .allMatch(p -> c.effect() == Effect.DEDUPLICATED && now - p.sentUs < REMEMBERED * c.windowUs()
                 && (c.group() == Group.ALL || (c.group() == Group.ZONE ? p.to.is.zone().equals(s.is.zone())
                 : p.to.is.cell() == s.is.cell())));
     }
--- a/sidecar/src/main/java/dillcross/net/Endpoints.java
+++ b/sidecar/src/main/java/dillcross/net/Endpoints.java
@@ -236,6 +236,9 @@
                 link.idleUs = clock.getAsLong();
                 exchange.pool.free().addLast(link);
                 link.pooled = exchange.pool.free();
+            } else if (kind == Ending.Kind.GIVEN_UP && link.connected) {
+                links.remove(link);
+                link.cut(); // or the system goes on sending what was written, and a network that heals brings it after the answer
             } else {
                 close(link);
             }
--- a/sidecar/src/main/java/dillcross/net/Http.java
+++ b/sidecar/src/main/java/dillcross/net/Http.java
@@ -13,6 +13,7 @@
     /** Takes on what has come on a link, and hands its part a message if that makes one. */
     static void read(Link link, boolean server) {
         if (link.reader.flows() && !link.closing) {
+            came(link, server); // a client's time begins with its last byte, not when an endpoint takes that
             if (link.source != null) {
                 link.source.pump();
             }
@@ -33,6 +34,7 @@
             int fault = link.reader.fault() == 0 && server && link.in.starved() ? NO_MEMORY : link.reader.fault();
             if (message != null || fault != 0) {
                 link.part.message(link, message, fault);
+                came(link, server);
                 return;
             }
         }
@@ -43,6 +45,12 @@
         }
     }
 
+    private static void came(Link link, boolean server) {
+        if (server && link.reader.restCame(link.in)) {
+            link.part.came(link);
+        }
+    }
+
     /** Sends a message; where there is no room for it nothing of it is sent and the link closes. */
     static void write(Link link, Message message) {
         if (link.add(message)) {
--- a/sidecar/src/main/java/dillcross/net/Listener.java
+++ b/sidecar/src/main/java/dillcross/net/Listener.java
@@ -149,6 +149,13 @@
         }
     }
 
+    @Override
+    public void came(Link link) {
+        if (link.user instanceof Waiting waiting) {
+            core.came(clock.getAsLong(), waiting.op());
+        }
+    }
+
     private void request(Link link, Message request) {
         link.asked++;
         String path = request.target();
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -193,13 +193,16 @@
         return done.getCount() == 0;
     }
 
-    /** What it holds at the moment; when nothing is carried out all of it is 0 but for connections that rest. */
+    /**
+     * What it holds at the moment; when nothing is carried out all of it is 0 but for what
+     * connections that rest may keep, and timers for the list and for the module to wake.
+     */
     public Held held() {
-        return new Held(core.held(), endpoints.exchanges(), listener.open(), budget.taken(), faults);
+        return new Held(core.held(), core.timers(), endpoints.exchanges(), listener.open(), budget.taken(), faults);
     }
 
-    /** Ops and pushes in the core, pushes and requests on the network, bytes of the buffers' limit, and turns that failed. */
-    public record Held(int ops, int pushes, int requests, long bytes, int faults) { }
+    /** Ops and timers in the core, pushes and requests on the network, bytes of the buffers' limit, and turns that failed. */
+    public record Held(int ops, int timers, int pushes, int requests, long bytes, int faults) { }
 
     @Override
     public void look() {
--- a/sidecar/src/main/java/dillcross/net/Part.java
+++ b/sidecar/src/main/java/dillcross/net/Part.java
@@ -5,5 +5,10 @@
     /** A message, or where it can't be read the status that says why. */
     void message(Link from, Message message, int fault);
 
+    /** The last byte of a message that flows has come, though it may not have gone on yet; told again and again. */
+    default void came(Link from) {
+        // who asks does not wait for it
+    }
+
     void closed(Link link);
 }
--- a/sidecar/src/main/java/dillcross/net/Reader.java
+++ b/sidecar/src/main/java/dillcross/net/Reader.java
@@ -67,6 +67,11 @@
         return flows;
     }
 
+    /** ... and all that is still to be taken lies in the ring. Of a body in chunks that is not known before its end is read. */
+    boolean restCame(Ring in) {
+        return flows && !done && !chunked && left != UNTIL_CLOSE && left <= in.size();
+    }
+
     /** ... and that was all of it; the next message may be read. */
     boolean done() {
         return done;
--- a/sidecar/src/main/java/dillcross/sidecar/Core.java
+++ b/sidecar/src/main/java/dillcross/sidecar/Core.java
@@ -247,6 +247,11 @@
         return ops.size();
     }
 
+    /** Timers that are set; those of an op that is over go when they are due. */
+    public int timers() {
+        return timers.size();
+    }
+
     // ---- Orders
 
     /** The next thing to carry out, or null when there is none. */
--- a/sidecar/src/test/java/dillcross/LogicTest.java
+++ b/sidecar/src/test/java/dillcross/LogicTest.java
@@ -165,6 +165,33 @@
         assertEquals(then == Decision.Kind.PUSH ? 2 : 1, s.pushes.get(op));
     }
 
+    /** What still connects when its group forgets the op, or what a cut network holds back, would run a second time. */
+    @ParameterizedTest
+    @CsvSource({"zone, 700, 900", "zone, 0, 900", "any, 300, 900"})
+    void aRepeatEndsWithItsGroupsMemory(String category, long firstMs, long limitMs) {
+        Sidecar s = new Sidecar(new PushRule(4, false, true), false);
+        s.list(true, "a", "b", "c");
+        long op = s.arrive(category);
+        Sent first = s.of(op);
+        assertTrue(first.untilMs() == 0 || first.untilMs() > s.nowMs + 1900, "the first push has all of its time");
+        s.pass(firstMs);
+        s.end(first, Outcome.RESET);
+        Sent repeat = s.of(op);
+        assertEquals(first.atMs() + limitMs, repeat.untilMs());
+        s.end(repeat, Outcome.CONNECT_FAILED); // that one never ran: the next is bound by the first alone
+        assertTrue(s.out.stream().noneMatch(p -> p.op() == op) || s.of(op).untilMs() == first.atMs() + limitMs);
+    }
+
+    /** A push whose earlier ones provably never ran is no repeat to anyone. */
+    @Test
+    void whatNeverRanNeedsNoMemory() {
+        Sidecar s = new Sidecar(new PushRule(4, false, true), false);
+        s.list(true, "a", "b");
+        long op = s.arrive("zone");
+        s.end(s.of(op), Outcome.CONNECT_FAILED);
+        assertTrue(s.of(op).untilMs() >= s.nowMs + 2000, "until " + (s.of(op).untilMs() - s.nowMs));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"a:DRAINING", "a:GONE"})
     void drainsAreKept(String news) {
