--- a/sidecar/src/main/java/dillcross/net/Ring.java
+++ b/sidecar/src/main/java/dillcross/net/Ring.java
@@ -15,6 +15,7 @@
     private byte[] bytes = new byte[FIRST];
     private int head; // of the first byte
     private int size;
+    private boolean over; // its connection is closed
     private boolean kept; // its room: a body flows through, and would grow it anew with every read
 
     /** {@code most} is a power of two. */
@@ -36,8 +37,13 @@
         return starved;
     }
 
-    /** Gives its room back; it must not be used after. */
+    /** Gives its room back for good: what an answer or a body still puts in must not take room again, as none would give that back. */
     void free() {
+        shrink();
+        over = true;
+    }
+
+    private void shrink() {
         budget.giveBack(bytes.length - FIRST);
         bytes = new byte[FIRST];
         head = 0;
@@ -55,7 +61,7 @@
         if (size == 0) {
             head = 0;
             if (bytes.length > 8 * FIRST && !kept) {
-                free(); // one large message must not cost for ever
+                shrink(); // one large message must not cost for ever
             }
         }
     }
@@ -142,7 +148,7 @@
         starved = false;
         if (need > bytes.length) {
             int length = Integer.highestOneBit(need - 1) * 2;
-            starved = !budget.take(length - bytes.length);
+            starved = over || !budget.take(length - bytes.length);
             if (starved) {
                 return false;
             }
