The emulator: the whole program on a virtual clock, against faults drawn from seeds

Need: a rolling deploy, a list out of reach and stalling endpoints came at once, and nobody could replay it.

--- /dev/null
+++ b/emulator/src/test/java/dillcross/emulator/EmulateIT.java
@@ -0,0 +1,89 @@
+package dillcross.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The built program by its command line, in processes of its own. */
+class EmulateIT {
+    @TempDir
+    private Path folder;
+
+    /** What it said, with its exit status as the last line. */
+    private List<String> dillcross(String... words) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of("../bin/dillcross", "emulate"));
+        command.addAll(List.of(words));
+        Path said = Files.createTempFile(folder, "said", ".txt");
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(said.toFile()).start();
+        int status = process.waitFor();
+        List<String> lines = new ArrayList<>(Files.readAllLines(said, StandardCharsets.UTF_8));
+        lines.add("status " + status);
+        return lines;
+    }
+
+    private static String last(List<String> lines) {
+        return lines.get(lines.size() - 1);
+    }
+
+    @Test
+    void twoProcessesAndAnyNumberOfJobsSayTheSame() throws IOException, InterruptedException {
+        List<String> one = dillcross("sweep", "../scenarios/mixed.toml", "--seeds", "1..24", "--jobs", "1", "--quiet");
+        List<String> many = dillcross("sweep", "../scenarios/mixed.toml", "--seeds", "1..24", "--jobs", "6", "--quiet");
+        assertEquals("status 0", last(one));
+        assertEquals(one.subList(1, one.size()), many.subList(1, many.size()), "all but the first line, which tells the time");
+        assertEquals("seeds 24 violations 0", one.get(one.size() - 2));
+    }
+
+    @Test
+    void aTraceIsTheSameByteForByteAndItsDigestIsTold() throws Exception {
+        Path a = folder.resolve("a.json");
+        Path b = folder.resolve("b.json");
+        List<String> first = dillcross("run", "../scenarios/mixed.toml", "--seed", "11", "--trace", a.toString());
+        dillcross("run", "../scenarios/mixed.toml", "--seed", "11", "--trace", b.toString());
+        assertEquals(-1, Files.mismatch(a, b));
+        String digest = java.util.HexFormat.of().formatHex(java.security.MessageDigest.getInstance("SHA-256").digest(Files.readAllBytes(a)));
+        assertTrue(first.contains("sha256:" + digest), first.toString());
+        dillcross("run", "../scenarios/mixed.toml", "--seed", "12", "--trace", b.toString());
+        assertNotEquals(-1, Files.mismatch(a, b));
+    }
+
+    @Test
+    void whatIsWrongWithTheInputIsSaidWithStatusTwo() throws IOException, InterruptedException {
+        Path bad = Files.writeString(folder.resolve("bad.toml"), "second = 1\n[[category]]\nname = \"a\"\n");
+        assertEquals(List.of(bad + ":1: second: unknown key; did you mean seconds?", "status 2"), dillcross("run", bad.toString(), "--seed", "1"));
+        assertEquals("status 2", last(dillcross("run", folder.resolve("none.toml").toString(), "--seed", "1")));
+        assertEquals("status 2", last(dillcross("run", "../scenarios/calm.toml")));
+        assertEquals("status 2", last(dillcross("run", "../scenarios/calm.toml", "--seed", "1", "--trace", folder.resolve("no/such").toString())));
+        assertEquals("status 2", last(dillcross("sweep", "../scenarios/calm.toml", "--seeds", "3")));
+        assertEquals("status 2", last(dillcross("sweep", "../scenarios/calm.toml", "--seeds", "3..1")));
+        assertEquals("status 2", last(dillcross("sweep", "../scenarios/calm.toml", "--seeds", "1..2", "--jobs", "0")));
+        assertEquals("status 2", last(dillcross("explain", "../scenarios/calm.toml", "--seed", "1", "--op", "none")));
+        assertEquals("status 2", last(dillcross()));
+    }
+
+    @Test
+    void aDayThatBreaksARuleIsFoundCutAndExplained() throws IOException, InterruptedException {
+        Path strict = Files.writeString(folder.resolve("strict.toml"), Files.readString(Path.of("../scenarios/cold.toml"))
+                .replaceFirst("\n\\[\\[trouble", "\n[rules]\ncold_slack = 0.1\n\n[[trouble"));
+        List<String> swept = dillcross("sweep", strict.toString(), "--seeds", "1..40", "--quiet");
+        assertEquals("status 1", last(swept));
+        String seed = swept.get(0).split(" +")[1];
+        List<String> day = dillcross("run", strict.toString(), "--seed", seed);
+        assertEquals("status 1", last(day));
+        Path cut = folder.resolve("cut.toml");
+        assertEquals("status 1", last(dillcross("shrink", strict.toString(), "--seed", seed, "--out", cut.toString())));
+        String again = Files.readString(cut).replaceFirst("(?s).*?--seed ([0-9]+).*", "$1");
+        assertEquals("status 1", last(dillcross("run", cut.toString(), "--seed", again)));
+        List<String> story = dillcross("explain", cut.toString(), "--seed", again, "--op", "s0-1");
+        assertTrue(story.get(0).startsWith("op s0-1, seed ") && story.stream().anyMatch(line -> line.contains("ANSWERED")), story.toString());
+    }
+}
