--- a/emulator/src/main/java/dillcross/emulator/wire/End.java
+++ b/emulator/src/main/java/dillcross/emulator/wire/End.java
@@ -11,16 +11,22 @@
     /** Who is behind it; each call comes from an event of its own. */
     public interface Owner {
         /** The connection that was asked for is up. */
-        void up(End end);
+        default void up(End end) {
+            throw new IllegalStateException("it asked for nothing");
+        }
 
         /** It can't be had. */
-        void failed(End end);
+        default void failed(End end) {
+            // there is nobody, and nothing to do about it
+        }
 
         /** There is something to read, or the end of it, or word of a reset. */
         void readable(End end);
 
-        /** All that was handed over is taken. */
-        void taken(End end);
+        /** All that was handed over is taken; who sends all at once never waits for it. */
+        default void taken(End end) {
+            // it never waits
+        }
     }
 
     private static final int WINDOW = 256 << 10; // bytes on their way, or come and not read
@@ -93,6 +99,11 @@
         return unread > 0 || ended || reset;
     }
 
+    /** All that has come was read, and nothing more will. */
+    public boolean over() {
+        return reset || ended && unread == 0;
+    }
+
     /** Bytes read so far. */
     public long bytesRead() {
         return readBytes;
--- a/emulator/src/main/java/dillcross/emulator/world/Clients.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Clients.java
@@ -187,11 +187,6 @@
             }
         }
 
-        @Override
-        public void taken(End same) {
-            // what it sends never waits
-        }
-
         private void send() {
             Ask of = ask;
             process = sidecar.process();
@@ -275,7 +270,7 @@
             if (ask != null && incoming.whole()) {
                 answered();
             }
-            if (!over && (end.wasReset() || end.read(java.nio.ByteBuffer.allocate(1)) < 0)) {
+            if (!over && end.over()) {
                 ended();
             }
         }
@@ -362,23 +357,13 @@
                     world.time().after(8_000_000, end::close);
                 }
 
-                @Override
-                public void failed(End end) {
-                    // nobody is there
-                }
-
                 @Override
                 public void readable(End end) {
                     end.readAll();
-                    if (end.wasReset() || end.read(java.nio.ByteBuffer.allocate(1)) < 0) {
+                    if (end.over()) {
                         end.close();
                     }
                 }
-
-                @Override
-                public void taken(End end) {
-                    // what it sends never waits
-                }
             }));
         }
     }
--- a/emulator/src/main/java/dillcross/emulator/world/Directory.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Directory.java
@@ -163,21 +163,6 @@
             this.end = end;
         }
 
-        @Override
-        public void up(End same) {
-            throw new IllegalStateException("it asks for nothing");
-        }
-
-        @Override
-        public void failed(End same) {
-            throw new IllegalStateException("it asks for nothing");
-        }
-
-        @Override
-        public void taken(End same) {
-            // what it sends never waits
-        }
-
         @Override
         public void readable(End same) {
             byte[] bytes = end.readAll();
@@ -190,7 +175,7 @@
                 double delayMs = world.scenario().list().delayMs().draw(chance.named(end.other() + " " + number)) + slowMs;
                 world.time().after(Math.round(delayMs * 1000), this::begin);
             }
-            if (end.wasReset() || end.read(java.nio.ByteBuffer.allocate(1)) < 0) {
+            if (end.over()) {
                 calls.remove(this);
                 watches.remove(this);
                 end.close();
--- a/emulator/src/main/java/dillcross/emulator/world/Instance.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Instance.java
@@ -217,17 +217,12 @@
                 if (bytes.length > 0) {
                     incoming.add(bytes, end.firstSentUs());
                 }
-                if (end.wasReset() || end.read(java.nio.ByteBuffer.allocate(1)) < 0) {
+                if (end.over()) {
                     end.close();
                     answered(incoming.whole() ? Integer.parseInt(incoming.word(1)) : 0);
                 }
             }
 
-            @Override
-            public void taken(End end) {
-                // what it sends never waits
-            }
-
             private void answered(int status) {
                 if (able && mine == starts && node != null && !stopping && status != 200) {
                     world.oracle().broke(Rule.TRUE_CONTENT, null, name + " answered " + status + " at its door to " + path);
--- a/emulator/src/main/java/dillcross/emulator/world/Server.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Server.java
@@ -222,21 +222,6 @@
             });
         }
 
-        @Override
-        public void up(End same) {
-            throw new IllegalStateException("it asks for nothing");
-        }
-
-        @Override
-        public void failed(End same) {
-            throw new IllegalStateException("it asks for nothing");
-        }
-
-        @Override
-        public void taken(End same) {
-            // what it sends never waits
-        }
-
         @Override
         public void readable(End same) {
             if (isOver || of != life) {
@@ -253,7 +238,7 @@
             if (!isOver && incoming.whole() && work == null) {
                 whole();
             }
-            if (!isOver && (end.wasReset() || end.read(java.nio.ByteBuffer.allocate(1)) < 0)) {
+            if (!isOver && end.over()) {
                 gone();
             }
         }
