The emulator keeps no figures that nobody reads

Read once more: counts of bytes read, of pieces carried and of the most connections, and the time of the last byte, had no reader left.

--- a/emulator/src/main/java/dillcross/emulator/wire/End.java
+++ b/emulator/src/main/java/dillcross/emulator/wire/End.java
@@ -53,9 +53,7 @@
     private boolean endsSending;
     private boolean cuts;
     private boolean hard; // it was closed with a reset: its system sends nothing again
-    private long readBytes;
     private long firstSentUs; // of the bytes that were read last
-    private long lastSentUs;
 
     End(Fabric fabric, Host host, long line, boolean asks) {
         this.fabric = fabric;
@@ -104,20 +102,11 @@
         return reset || ended && unread == 0;
     }
 
-    /** Bytes read so far. */
-    public long bytesRead() {
-        return readBytes;
-    }
-
-    /** When the first and the last of the bytes were sent that the last read gave. */
+    /** When the first of the bytes was sent that the last read gave. */
     public long firstSentUs() {
         return firstSentUs;
     }
 
-    public long lastSentUs() {
-        return lastSentUs;
-    }
-
     /** As a socket without waiting: a count, 0 for nothing now, -1 at the end, -2 where it was reset. */
     public int read(ByteBuffer into) {
         if (reset) {
@@ -128,7 +117,6 @@
             int count = Math.min(into.remaining(), first.bytes.length - taken);
             into.put(first.bytes, taken, count);
             firstSentUs = all == 0 ? first.sentUs : firstSentUs;
-            lastSentUs = first.sentUs;
             taken += count;
             all += count;
             if (taken == first.bytes.length) {
@@ -141,7 +129,6 @@
         }
         if (all > 0) {
             unread -= all;
-            readBytes += all;
             peer.gaveBack(all);
             return all;
         }
--- a/emulator/src/main/java/dillcross/emulator/wire/Fabric.java
+++ b/emulator/src/main/java/dillcross/emulator/wire/Fabric.java
@@ -34,7 +34,6 @@
     private final byte[] mark = new byte[20];
     private int pieceBytes = Integer.MAX_VALUE;
     private final Map<String, Long> lines = new LinkedHashMap<>(); // how many, by who connects to whom
-    private long carried;
 
     public Fabric(Timeline time, Chance chance, long nearUs, long farUs, long jitterUs) {
         this.time = time;
@@ -49,10 +48,6 @@
         return all.getValue();
     }
 
-    public long carried() {
-        return carried;
-    }
-
     /** A machine that is not there: what is sent to it nobody answers. */
     public static Host nowhere() {
         Host nowhere = new Host("nowhere", "nowhere");
@@ -208,7 +203,6 @@
     }
 
     private void count(End from, byte[] bytes) {
-        carried++;
         long now = time.now();
         for (int i = 0; i < 8; i++) {
             mark[i] = (byte) (now >>> 8 * i);
--- a/emulator/src/main/java/dillcross/emulator/world/Instance.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Instance.java
@@ -35,7 +35,6 @@
     private boolean ready;
     private boolean stopping;
     private long turns; // of earlier processes
-    private int mostConnections;
 
     Instance(World world, Directory list, int index) {
         this.world = world;
@@ -70,10 +69,6 @@
         return host.connections();
     }
 
-    int mostConnections() {
-        return mostConnections;
-    }
-
     long turns() {
         return turns + (network == null ? 0 : network.turnsMade());
     }
@@ -145,7 +140,6 @@
             node.ready();
             world.trace().note("ready", "sidecar", name);
         }
-        mostConnections = Math.max(mostConnections, host.connections());
         if (host.connections() + 1 > world.scenario().sidecars().descriptors()) {
             world.oracle().broke(Rule.WITHIN_LIMITS, null, name + " holds " + host.connections() + " connections");
         }
