One answer counts as twice the calm latency at the most: few that hang are no queue

Change: an answer's slowness is taken up to 2 instead of 5. It guards against any few that are very slow (dead, choked, paused endpoints); it could harm where most hang and the rest are fast, as the bound then closes later.

--- a/sidecar/src/main/java/dillcross/Logic.java
+++ b/sidecar/src/main/java/dillcross/Logic.java
@@ -38,6 +38,7 @@
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 3.6; // times what is in flight without a queue, while calm
+    private static final double SLOWEST = 2; // times calm that one answer counts: few that hang are no queue of all
     private static final double REPEAT = 0.4; // of a first try's part of the bound, for a repeat
     private static final long UNUSED_US = 2_000_000; // before connections to what is not in use are let go
     private static final double RENEWAL = 0.2; // of a renewed weight in what an endpoint seems to hold
@@ -568,10 +569,8 @@
             // Against its own usual: where one of the few in use is slow, the rest must not be closed for it.
             double slow = tookUs / Math.max(1, Math.min(5, push.to.slowness))
                     / Math.max(0.2 * target, Math.min(0.33 * target, push.op.kind.calmUs));
-            double part = Math.max(0.06, 1 / (4 + 1e6 * answers.at(0)));
-            
-            part *= 1 - drags(push.op.kind);
-            slowed += part * (Math.max(0.6, Math.min(5, slow)) - slowed);
+            double part = Math.max(0.06, 1 / (4 + 1e6 * answers.at(0))) * (1 - drags(push.op.kind));
+            slowed += part * (Math.max(0.6, Math.min(SLOWEST, slow)) - slowed);
         }
     }
 
--- a/sidecar/src/test/java/dillcross/LogicTest.java
+++ b/sidecar/src/test/java/dillcross/LogicTest.java
@@ -848,6 +848,32 @@
         assertTrue(atOnce[1] > atOnce[0] + 15, Arrays.toString(atOnce));
     }
 
+    /** After a restart of a third, few ops that hung stood for a queue of all, and over half were nacked while endpoints had room. */
+    @ParameterizedTest
+    @CsvSource({"6, false", "1, true"})
+    void fewOpsThatHangAreNoQueueOfAll(int every, boolean queue) {
+        Sidecar s = Sidecar.with("a", "b", "c", "d", "e", "f");
+        for (int i = 0; i < 200; i++) {
+            s.arrive("read");
+            s.pass(20);
+            s.endAll(p -> true, Outcome.ACKED);
+        }
+        Set<Long> hang = new HashSet<>();
+        List<Long> ops = new ArrayList<>();
+        for (int i = 0; i < 2000; i++) {
+            long op = s.arrive("read");
+            ops.add(op);
+            if (i % every == 0) {
+                hang.add(op);
+            }
+            s.pass(5);
+            long nowMs = s.nowMs;
+            s.endAll(p -> nowMs - p.atMs() >= (hang.contains(p.op()) ? 390 : 30), Outcome.ACKED);
+        }
+        long nacked = ops.stream().filter(op -> s.answers.containsKey(op) && s.answers.get(op).kind() == Decision.Kind.NACK).count();
+        assertEquals(queue, nacked > 100, "nacked " + nacked);
+    }
+
     /** Slow endpoints among the few in use must not close the bound for the others. */
     @Test
     void slowEndpointsDoNotCloseTheBound() {
