Membership among the sidecars: SWIM with local health, off without an operator's file

Need: leaving a zone as a fleet and recovery from a power loss build on sidecars that know of each other; a sidecar knew of none.

Change: package membership (no I/O, no clock): probes, indirect probes over other zones, suspicion with confirmations, refutation, local health, digests after a partition, restarts and names told apart, bounded table, bytes and datagrams, payloads of other parts. CBOR by Jackson; datagrams on the one selector; the operators' file in TOML, faults name file, line and key; GET /-/members and the command members.

Off (no file named) nothing of it is made.

--- a/emulator/src/main/java/dillcross/emulator/wire/EmulatedNetwork.java
+++ b/emulator/src/main/java/dillcross/emulator/wire/EmulatedNetwork.java
@@ -129,6 +129,12 @@
         return false;
     }
 
+    /** Days of ops play no talk among sidecars; {@code dillcross.emulator.members} carries datagrams between memberships. */
+    @Override
+    public Datagrams datagrams(InetSocketAddress at, int most, Hearer hearer) throws IOException {
+        throw new IOException("no datagrams on the emulated wire");
+    }
+
     @Override
     public Entrance bind(InetSocketAddress at, Taker taker) throws IOException {
         Door door = new Door(ip + ":" + at.getPort(), taker);
--- a/sidecar/src/main/java/dillcross/cli/Commands.java
+++ b/sidecar/src/main/java/dillcross/cli/Commands.java
@@ -43,8 +43,20 @@
     int serve(@Option(names = "--config", paramLabel = "FILE",
             description = "Configuration as JSON (default: $NODE_CONFIG).") String file,
             @Option(names = "--check", description = "Check the configuration, start, warm up and exit.")
-            boolean check) throws InterruptedException {
-        return Serve.run(file, check);
+            boolean check,
+            @Option(names = "--operator", paramLabel = "FILE",
+            description = "What operators switch on, as TOML (default: $NODE_OPERATOR; without it all of it is off).") String operator,
+            @Option(names = "--clock-shift-ms", paramLabel = "MS", hidden = true, defaultValue = "0") long shiftMs)
+            throws InterruptedException {
+        return Serve.run(file, operator, check, shiftMs);
+    }
+
+    @Command(name = "members", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Show whom a running sidecar holds for its fellows.",
+            exitCodeListHeading = "%nExit status:%n", exitCodeList = {"0:shown", "1:no answer, or it knows of no others", "2:faulty input"})
+    int members(@picocli.CommandLine.Parameters(paramLabel = "ADDR", description = "Its operators' door (admin_addr).") String door,
+            @Option(names = "--json", description = "As the door gives it.") boolean json) {
+        return MembersView.show(door, json, System.out, System.err);
     }
 
     /** Made only when there is something to say: starting the logger costs CPU that a run is billed for. */
--- a/sidecar/src/main/java/dillcross/cli/Main.java
+++ b/sidecar/src/main/java/dillcross/cli/Main.java
@@ -16,7 +16,7 @@
         // As the platform starts it: the command line library takes a third of the start, and a killed sidecar's
         // clients wait for that.
         boolean plain = args.length == 1 && args[0].equals("serve");
-        System.exit(plain ? Serve.run(null, false) : byLibrary(args));
+        System.exit(plain ? Serve.run(null, null, false, 0) : byLibrary(args));
     }
 
     private static int byLibrary(String[] args) {
--- a/sidecar/src/main/java/dillcross/cli/Serve.java
+++ b/sidecar/src/main/java/dillcross/cli/Serve.java
@@ -2,8 +2,12 @@
 
 import dillcross.config.FaultyKey;
 import dillcross.config.Given;
+import dillcross.config.Operator;
+import dillcross.membership.Membership;
 import dillcross.net.Address;
+import dillcross.net.Members;
 import dillcross.net.Node;
+import dillcross.net.PacketCodec;
 import dillcross.net.Rehearsal;
 import dillcross.net.Roster;
 import dillcross.net.grizzly.GrizzlyNetwork;
@@ -29,11 +33,20 @@
     private static final boolean ASKS = true; // on sockets the list tells nothing unasked, whatever the settings say
 
     private final String file; // null where the environment names it
+    private final Operator.Members fellows; // null where it takes part among no others
+    private final long shiftUs; // of the wall clock, for tests of clocks that differ
     private Given given;
 
-    private Serve(String file) {
+    private Serve(String file, String operator, long shiftUs) {
         this.file = file;
+        this.shiftUs = shiftUs;
         given = read(file);
+        String named = operator != null ? operator : System.getenv("NODE_OPERATOR");
+        fellows = named == null || named.isEmpty() ? null
+                : Operator.file(named).members(given.has("name") ? given.needed("name") : "", given.below("settings").zone());
+        if (fellows != null && fellows.advertise().isEmpty() && address(named + ", membership.bind", fellows.bind()).getPort() == 0) {
+            throw new FaultyKey(named + ", membership.bind", "names no port, so membership.advertise has to say where others reach it");
+        }
     }
 
     /** The configuration, once nothing is wrong with any part of it. */
@@ -57,9 +70,9 @@
     }
 
     /** The exit status: 0 after a check, 1 where it can't start, 2 for a fault in the configuration. */
-    static int run(String file, boolean check) throws InterruptedException {
+    static int run(String file, String operator, boolean check, long shiftMs) throws InterruptedException {
         try {
-            return new Serve(file).run(check);
+            return new Serve(file, operator, 1000 * shiftMs).run(check);
         } catch (FaultyKey faulty) {
             LOG.severe("configuration: " + faulty.getMessage());
             return 2;
@@ -73,7 +86,7 @@
         Semaphore reloads = new Semaphore(0);
         onHangUp(reloads::release); // before all else: unhandled, it would end the program
         Given settings = given.below("settings");
-        LongSupplier clock = clock();
+        LongSupplier clock = clock(shiftUs);
         Core core = new Core(settings.instance(given.seed(), ASKS));
         Roster known = known(given);
         if (known != null) {
@@ -82,6 +95,9 @@
         Node node = new Node(new GrizzlyNetwork(), REHEARSALS, core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
                 settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()),
                 given.mostBody(), Math.min(Runtime.getRuntime().maxMemory() / 4, given.room()));
+        if (fellows != null) {
+            node.joins(members(clock.getAsLong()));
+        }
         node.open(door(given));
         Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -100,6 +116,13 @@
         return 0;
     }
 
+    private Members members(long bootUs) {
+        String address = fellows.advertise().isEmpty() ? fellows.bind() : fellows.advertise();
+        Membership membership = new Membership(given.seed() ^ bootUs ^ fellows.name().hashCode(), bootUs, fellows.name(), address, fellows.zone(), bootUs,
+                fellows.seeds(), fellows.intervalUs(), fellows.timeoutUs(), fellows.mostMembers(), fellows.datagramBytes(), fellows.bytesPerS());
+        return new Members(membership, new PacketCodec(fellows.fleet()), address("membership.bind", fellows.bind()), fellows.datagramBytes());
+    }
+
     /** Reads the file again. Endpoints, open ops and what was learned stay; a file with a fault changes nothing. */
     private void reload(Node node) throws InterruptedException {
         try {
@@ -157,9 +180,13 @@
     }
 
     private static InetSocketAddress address(Given given, String key) {
-        InetSocketAddress address = Address.parse(given.needed(key));
+        return address(key, given.needed(key));
+    }
+
+    private static InetSocketAddress address(String key, String text) {
+        InetSocketAddress address = Address.parse(text);
         if (address == null) {
-            throw new FaultyKey(key, "not a numeric address and port: " + given.needed(key));
+            throw new FaultyKey(key, "not a numeric address and port: " + text);
         }
         return address;
     }
@@ -179,8 +206,8 @@
     }
 
     /** Whole microseconds since 1970, as the list counts starts, that never go back. */
-    private static LongSupplier clock() {
-        long startUs = System.currentTimeMillis() * 1000;
+    private static LongSupplier clock(long shiftUs) {
+        long startUs = System.currentTimeMillis() * 1000 + shiftUs;
         long startNs = System.nanoTime();
         return () -> startUs + (System.nanoTime() - startNs) / 1000;
     }
--- a/sidecar/src/main/java/dillcross/config/Given.java
+++ b/sidecar/src/main/java/dillcross/config/Given.java
@@ -155,7 +155,7 @@
         return word("discovery", "subscribe", "automatic").equals("subscribe");
     }
 
-    private String zone() {
+    public String zone() {
         return text("locality", "");
     }
 
--- a/sidecar/src/main/java/dillcross/net/Door.java
+++ b/sidecar/src/main/java/dillcross/net/Door.java
@@ -1,6 +1,8 @@
 package dillcross.net;
 
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
@@ -16,6 +18,7 @@
 
     private final Life life;
     private final LongSupplier clock;
+    private Members members; // null where this sidecar knows of no others
     private final Budget budget = new Budget(MOST * 64L << 10);
     private final Set<Link> links = new LinkedHashSet<>(); // the oldest first
 
@@ -24,6 +27,10 @@
         this.clock = clock;
     }
 
+    void shows(Members own) {
+        members = own;
+    }
+
     @Override
     public Network.Ear accepted(Wire wire) {
         Link link = new Link(wire, this, true, Reader.WHOLE, Reader.WHOLE, budget);
@@ -58,6 +65,7 @@
         String path = call.target();
         String method = switch (path) {
             case Names.READY_PATH -> "GET";
+            case Names.MEMBERS_PATH -> members == null ? null : "GET";
             case Names.DRAIN_PATH, Names.RESUME_PATH -> "POST";
             default -> null;
         };
@@ -70,6 +78,9 @@
         if (path.equals(Names.READY_PATH)) {
             return life.able() ? Message.answer(200, "ready") : Message.answer(503, "not ready");
         }
+        if (path.equals(Names.MEMBERS_PATH)) {
+            return Message.answer(200, new LinkedHashMap<>(Map.of("content-type", "application/json")), members.view());
+        }
         boolean drain = path.equals(Names.DRAIN_PATH);
         if (drain) {
             life.drain(clock.getAsLong());
--- a/sidecar/src/main/java/dillcross/net/Names.java
+++ b/sidecar/src/main/java/dillcross/net/Names.java
@@ -13,6 +13,7 @@
     static final String HEALTH_PATH = "/healthz";
     static final String READY_PATH = "/-/ready";
     static final String DRAIN_PATH = "/-/drain";
+    static final String MEMBERS_PATH = "/-/members";
     static final String RESUME_PATH = "/-/resume";
 
     private Names() {
--- a/sidecar/src/main/java/dillcross/net/Network.java
+++ b/sidecar/src/main/java/dillcross/net/Network.java
@@ -68,4 +68,21 @@
     boolean inherits() throws IOException;
 
     void connect(InetSocketAddress to, Asker asker);
+
+    /** Who hears datagrams. */
+    interface Hearer {
+        /** Its bytes, up to those that were asked for; they are there during the call only. */
+        void heard(InetSocketAddress from, java.nio.ByteBuffer bytes);
+    }
+
+    /** A socket for datagrams; what can't be sent at once is lost. */
+    interface Datagrams {
+        /** As a number and a port. */
+        String address();
+
+        void send(InetSocketAddress to, byte[] bytes);
+    }
+
+    /** At an address, for datagrams of so many bytes at the most; the hearer is called within a turn's gathering. */
+    Datagrams datagrams(InetSocketAddress at, int most, Hearer hearer) throws IOException;
 }
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -40,6 +40,7 @@
     private final Door door = new Door(life, this::now);
     private volatile long mostTtlUs; // of all settings so far: an op may be open from any of them
     private final Queue<Runnable> changes = new ConcurrentLinkedQueue<>(); // to carry out between two turns
+    private Members members; // null where this sidecar knows of no others
     private String doorIs; // the operators' address; null where they have none
     private String self; // the address at which it asks itself to get warm; null where there is none
     private volatile Network.Entrance entrance; // the clients'
@@ -102,9 +103,19 @@
         made.await();
     }
 
+    /** Takes part among others, from the first turn on; before {@link #open}. */
+    public void joins(Members own) {
+        members = own;
+        door.shows(own);
+    }
+
     /** Begins to turn, and opens the operators' door if they have one: they may ask from the first moment on. */
     public void open(InetSocketAddress doorAt) throws IOException {
         network.start(this);
+        if (members != null) {
+            members.open(network);
+            network.wake();
+        }
         if (doorAt != null) {
             doorIs = network.bind(doorAt, door).address();
             LOG.info(() -> "operators' door on " + doorIs);
@@ -184,6 +195,9 @@
     public void askStop() {
         changes.add(() -> {
             life.stop(now);
+            if (members != null) {
+                members.leave(now);
+            }
             LOG.info("stopping");
         });
         network.wake();
@@ -207,6 +221,9 @@
     @Override
     public void look() {
         now = clock.getAsLong();
+        if (members != null) {
+            members.look(now);
+        }
     }
 
     private long now() {
@@ -216,6 +233,7 @@
     @Override
     public long dueInUs() {
         long due = Math.min(core.dueUs(), Math.min(endpoints.dueUs(), discovery.dueUs()));
+        due = members == null ? due : Math.min(due, members.dueUs());
         return Math.min(due - clock.getAsLong(), life.stopping() ? 5_000 : SWEEP_US);
     }
 
@@ -228,6 +246,9 @@
                 change.run();
             }
             discovery.sweep(now);
+            if (members != null) {
+                members.turn(now);
+            }
             for (Order order; (order = core.next(now)) != null;) {
                 carryOut(order);
             }
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
@@ -49,6 +49,13 @@
         return new ServerSocket(at == null ? binder.bindToInherited() : binder.bind(at, BACKLOG));
     }
 
+    @Override
+    public Datagrams datagrams(InetSocketAddress at, int most, Hearer hearer) throws IOException {
+        GrizzlyDatagrams socket = new GrizzlyDatagrams(at, most, hearer);
+        loop.waitsFor(socket);
+        return socket;
+    }
+
     private record ServerSocket(TCPNIOServerConnection server) implements Entrance {
         @Override
         public String address() {
--- a/sidecar/src/main/java/dillcross/net/grizzly/Loop.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/Loop.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
 
@@ -14,7 +16,9 @@
  */
 final class Loop extends DefaultSelectorHandler {
     private final Network.Turns turns;
+    private final Queue<GrizzlyDatagrams> opened = new ConcurrentLinkedQueue<>(); // datagram sockets to be waited for from the next select on
     private volatile Selector selector;
+    private volatile boolean datagrams;
 
     Loop(Network.Turns turns) {
         this.turns = turns;
@@ -28,6 +32,26 @@
         }
     }
 
+    /** From any thread: has a socket for datagrams waited for on this selector too. Grizzly's own transport for them would bring a second thread. */
+    void waitsFor(GrizzlyDatagrams socket) {
+        opened.add(socket);
+        datagrams = true;
+        wake();
+    }
+
+    /** Grizzly knows nothing of these keys: they are dealt with here and taken out. */
+    private void hear(Set<SelectionKey> keys) {
+        if (datagrams && !keys.isEmpty()) {
+            keys.removeIf(key -> {
+                boolean ours = key.attachment() instanceof GrizzlyDatagrams;
+                if (ours) {
+                    ((GrizzlyDatagrams) key.attachment()).readable();
+                }
+                return ours;
+            });
+        }
+    }
+
     @Override
     public boolean preSelect(SelectorRunner runner) throws IOException {
         boolean go = super.preSelect(runner);
@@ -38,6 +62,9 @@
     @Override
     public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
         selector = runner.getSelector();
+        for (GrizzlyDatagrams socket; (socket = opened.poll()) != null;) {
+            socket.register(selector);
+        }
         long us = turns.dueInUs();
         if (us <= 0 || !runner.getPostponedTasks().isEmpty()) {
             selector.selectNow();
@@ -45,6 +72,8 @@
             selector.select(Math.min(getSelectTimeout(), (us + 999) / 1000));
         }
         turns.look();
-        return selector.selectedKeys();
+        Set<SelectionKey> keys = selector.selectedKeys();
+        hear(keys);
+        return keys;
     }
 }
--- a/sidecar/src/test/java/dillcross/PackagesTest.java
+++ b/sidecar/src/test/java/dillcross/PackagesTest.java
@@ -24,12 +24,18 @@
 
     @Test
     void theCoreHasNoInputOutputAndNoClock() {
-        noClasses().that().resideInAnyPackage("dillcross", "dillcross.sidecar..").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("dillcross", "dillcross.sidecar..", "dillcross.membership..").should().dependOnClassesThat()
                 .resideInAnyPackage(IO).check(CLASSES);
-        noClasses().that().resideInAnyPackage("dillcross", "dillcross.sidecar..").should().callMethod(System.class, "nanoTime")
+        noClasses().that().resideInAnyPackage("dillcross", "dillcross.sidecar..", "dillcross.membership..").should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(CLASSES);
     }
 
+    @Test
+    void membershipKnowsNothingOfTheRest() {
+        classes().that().resideInAPackage("dillcross.membership..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("dillcross.membership..", "java.lang..", "java.util", "java.util.stream", "java.util.function").check(CLASSES);
+    }
+
     @Test
     void theNetworkReadsNoClockOfItsOwn() {
         noClasses().that().resideInAPackage("dillcross.net..").should().callMethod(System.class, "nanoTime")
