--- a/emulator/src/main/java/dillcross/emulator/cli/Commands.java
+++ b/emulator/src/main/java/dillcross/emulator/cli/Commands.java
@@ -1,6 +1,7 @@
 package dillcross.emulator.cli;
 
 import dillcross.emulator.chance.Chance;
+import dillcross.emulator.members.Trial;
 import dillcross.emulator.run.Explain;
 import dillcross.emulator.run.Shrink;
 import dillcross.emulator.run.Sweep;
@@ -131,6 +132,23 @@
             return BROKEN;
         }
 
+        @Command(name = "members", mixinStandardHelpOptions = true, description = "Play memberships of many sidecars under faults; prints a table of what was found, how soon and how wrongly.")
+        int members(@Option(names = "--members", defaultValue = "60", paramLabel = "N", description = "How many (4 to 4000; default: 60).") int members,
+                @Option(names = "--seeds", defaultValue = "1..10", paramLabel = "A..B") String seeds,
+                @Option(names = "--fault", paramLabel = "WORD", description = "none, loss30, one-way, flapping-cut, halves, pauses, slow or all (default: each of them).") String fault,
+                @Option(names = "--jobs", paramLabel = "J") Integer jobs) throws InterruptedException {
+            List<Trial.Fault> faults = java.util.Arrays.stream(Trial.Fault.values()).filter(f -> fault == null || f.word().equals(fault)).toList();
+            if (members < 4 || members > 4000 || !seeds.matches("[0-9]{1,9}\\.\\.[0-9]{1,9}") || faults.isEmpty()) {
+                System.err.println("dillcross: " + (members < 4 || members > 4000 ? "--members takes 4 to 4000" : faults.isEmpty() ? "--fault knows no " + fault
+                        : "--seeds takes two numbers as A..B, and not " + seeds));
+                return FAULTY;
+            }
+            long from = Long.parseLong(seeds.substring(0, seeds.indexOf('.')));
+            long to = Long.parseLong(seeds.substring(seeds.lastIndexOf('.') + 1));
+            int cores = jobs == null ? Runtime.getRuntime().availableProcessors() : Math.max(1, jobs);
+            return Trial.table(members, from, to, faults, cores, System.out::println) ? CLEAN : BROKEN;
+        }
+
         @Command(name = "explain", mixinStandardHelpOptions = true, description = "Tell the story of one op.")
         int explain(@Parameters(paramLabel = "SCENARIO") Path file, @Option(names = "--seed", required = true, paramLabel = "N") long seed,
                 @Option(names = "--op", paramLabel = "ID", description = "Which (default: the first that broke a rule).") String op) throws Faulty {
--- /dev/null
+++ b/emulator/src/test/java/dillcross/emulator/Changed.java
@@ -0,0 +1,63 @@
+package dillcross.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.MalformedURLException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import javax.tools.JavaCompiler;
+import javax.tools.StandardJavaFileManager;
+import javax.tools.ToolProvider;
+
+/** The program with a line of the sidecar's text changed, compiled anew and loaded beside the unchanged one. */
+final class Changed {
+    private static final Path SOURCES = Path.of("../sidecar/src/main/java/dillcross");
+
+    private Changed() {
+    }
+
+    static URLClassLoader loader(Path folder, String file, String text, String instead) throws IOException {
+        String source = Files.readString(SOURCES.resolve(file));
+        assertEquals(2, source.split(java.util.regex.Pattern.quote(text), -1).length, "the text that the fault changes stands once in " + file);
+        compile(folder, file, source.replace(text, instead));
+        return loader(folder);
+    }
+
+    private static void compile(Path folder, String file, String text) throws IOException {
+        Path changed = folder.resolve("text").resolve(file);
+        Files.createDirectories(changed.getParent());
+        Files.writeString(changed, text);
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        try (StandardJavaFileManager files = compiler.getStandardFileManager(null, null, null)) {
+            Path out = Files.createDirectories(folder.resolve("classes"));
+            assertTrue(compiler.getTask(null, files, null, List.of("-cp", System.getProperty("java.class.path"), "-d", out.toString(), "-XDstringConcat=inline"), null,
+                    files.getJavaFileObjects(changed)).call(), "the changed text compiles");
+        }
+    }
+
+    /** Loads all of dillcross itself, the changed classes first. */
+    private static URLClassLoader loader(Path folder) throws MalformedURLException {
+        List<URL> urls = new ArrayList<>(List.of(folder.resolve("classes").toUri().toURL()));
+        for (String path : System.getProperty("java.class.path").split(java.io.File.pathSeparator)) {
+            urls.add(Path.of(path).toUri().toURL());
+        }
+        return new URLClassLoader(urls.toArray(new URL[0]), Changed.class.getClassLoader()) {
+            @Override
+            protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+                synchronized (getClassLoadingLock(name)) {
+                    Class<?> loaded = findLoadedClass(name);
+                    if (loaded == null) {
+                        loaded = name.startsWith("dillcross.") ? findClass(name) : super.loadClass(name, false);
+                    }
+                    return loaded;
+                }
+            }
+        };
+    }
+}
--- a/emulator/src/test/java/dillcross/emulator/PlantedTest.java
+++ b/emulator/src/test/java/dillcross/emulator/PlantedTest.java
@@ -1,22 +1,13 @@
 package dillcross.emulator;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.net.MalformedURLException;
-import java.net.URL;
 import java.net.URLClassLoader;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiFunction;
 import java.util.stream.Stream;
-import javax.tools.JavaCompiler;
-import javax.tools.StandardJavaFileManager;
-import javax.tools.ToolProvider;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -27,7 +18,6 @@
  * the day played with it. The oracle has to find each within 200 seeds.
  */
 class PlantedTest {
-    private static final Path SOURCES = Path.of("../sidecar/src/main/java/dillcross");
     private static final Path SCENARIOS = Path.of("../scenarios");
     private static final long MOST = 200;
     @TempDir
@@ -77,11 +67,8 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("faults")
     void isFound(String name, String file, String text, String instead, String rules, String scenario) throws Exception {
-        String source = Files.readString(SOURCES.resolve(file));
-        assertEquals(2, source.split(java.util.regex.Pattern.quote(text), -1).length, "the text that the fault changes stands once in " + file);
-        compile(file, source.replace(text, instead));
         String found;
-        try (URLClassLoader own = loader()) {
+        try (URLClassLoader own = Changed.loader(folder, file, text, instead)) {
             @SuppressWarnings("unchecked")
             BiFunction<Path, Long, String> hunt = (BiFunction<Path, Long, String>) own.loadClass(Hunt.class.getName()).getDeclaredConstructor().newInstance();
             found = hunt.apply(SCENARIOS.resolve(scenario), MOST);
@@ -90,36 +77,4 @@
         System.out.println("planted: " + name + " | " + file + " | " + scenario + " | found by seed " + found);
         assertTrue(List.of(rules.split(" ")).contains(found.split(" ")[1]), found);
     }
-
-    private void compile(String file, String text) throws IOException {
-        Path changed = folder.resolve("text").resolve(file);
-        Files.createDirectories(changed.getParent());
-        Files.writeString(changed, text);
-        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
-        try (StandardJavaFileManager files = compiler.getStandardFileManager(null, null, null)) {
-            Path out = Files.createDirectories(folder.resolve("classes"));
-            assertTrue(compiler.getTask(null, files, null, List.of("-cp", System.getProperty("java.class.path"), "-d", out.toString(), "-XDstringConcat=inline"), null,
-                    files.getJavaFileObjects(changed)).call(), "the changed text compiles");
-        }
-    }
-
-    /** Loads all of dillcross itself, the changed classes first. */
-    private URLClassLoader loader() throws MalformedURLException {
-        List<URL> urls = new ArrayList<>(List.of(folder.resolve("classes").toUri().toURL()));
-        for (String path : System.getProperty("java.class.path").split(java.io.File.pathSeparator)) {
-            urls.add(Path.of(path).toUri().toURL());
-        }
-        return new URLClassLoader(urls.toArray(new URL[0]), PlantedTest.class.getClassLoader()) {
-            @Override
-            protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
-                synchronized (getClassLoadingLock(name)) {
-                    Class<?> loaded = findLoadedClass(name);
-                    if (loaded == null) {
-                        loaded = name.startsWith("dillcross.") ? findClass(name) : super.loadClass(name, false);
-                    }
-                    return loaded;
-                }
-            }
-        };
-    }
 }
--- /dev/null
+++ b/emulator/src/test/java/dillcross/emulator/Search.java
@@ -0,0 +1,13 @@
+package dillcross.emulator;
+
+import dillcross.emulator.members.Explorer;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
+
+/** Explores sequences of steps with the class that its loader has; what broke, or null. */
+public final class Search implements IntFunction<String> {
+    @Override
+    public String apply(int depth) {
+        return Explorer.explore(depth, 11, new AtomicLong());
+    }
+}
