--- a/sidecar/src/main/java/dillcross/membership/Membership.java
+++ b/sidecar/src/main/java/dillcross/membership/Membership.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -658,11 +657,4 @@
         counts.bytes += size;
         ready.add(new Sent(to, packet));
     }
-
-    /** Distinct zones of live members, our own among them: where the rest of the fleet is. */
-    public Set<String> zones() {
-        Set<String> zones = new LinkedHashSet<>(List.of(self.zone()));
-        others().forEach(c -> zones.add(c.zone()));
-        return zones;
-    }
 }
