--- a/fleet/src/main/java/dillcross/fleet/Fleet.java
+++ b/fleet/src/main/java/dillcross/fleet/Fleet.java
@@ -23,6 +23,7 @@
     private final long[] shiftMs;
     private final Set<Integer> alone = new TreeSet<>(); // without membership
     private String list = "127.0.0.1:1"; // nobody
+    private final String[] lists; // of those that have one of their own
     final Plane plane;
 
     /**
@@ -38,6 +39,7 @@
         this.intervalMs = intervalMs;
         children = new Child[members];
         shiftMs = new long[members];
+        lists = new String[members];
         plane = new Plane(members, seed);
     }
 
@@ -82,6 +84,11 @@
         list = address;
     }
 
+    /** Where that one asks for its list, from its next start on. */
+    void lists(int member, String address) {
+        lists[member] = address;
+    }
+
     /** That one takes part in no membership, from its next start on. */
     void alone(int member) {
         alone.add(member);
@@ -105,7 +112,7 @@
                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
                  "settings": {"locality": "%s", "me": %d, "balancers": %d, "discovery": "subscribe",
                   "categories": [{"name": "read", "effect": "idempotent", "target_latency_ms": 300, "ttl_ms": 1000, "benefit": 1}]}}
-                """.formatted(as, list, member + 1, zone(member), member, children.length));
+                """.formatted(as, lists[member] == null ? list : lists[member], member + 1, zone(member), member, children.length));
         String asked = seeds.stream().map(s -> "\"" + plane.address(s) + "\"").collect(Collectors.joining(", "));
         Files.writeString(operator, """
                 [membership]
--- a/fleet/src/main/java/dillcross/fleet/StandIns.java
+++ b/fleet/src/main/java/dillcross/fleet/StandIns.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
@@ -58,13 +59,15 @@
     });
     private final HttpServer list = server(threads);
     final List<Endpoint> endpoints = new ArrayList<>();
+    private final Map<Integer, Map<Endpoint, TcpLink>> links = new ConcurrentHashMap<>(); // by sidecar, where it has links of its own
+    private final Map<Integer, HttpServer> lists = new ConcurrentHashMap<>(); // likewise
     private final long startedMs = System.currentTimeMillis() - 600_000; // warm
 
     StandIns(int count, List<String> zones, long workMs) throws IOException {
         for (int i = 0; i < count; i++) {
             endpoints.add(new Endpoint("e" + i, zones.get(i % zones.size()), workMs, threads));
         }
-        list.createContext("/v1/servers", this::watch);
+        list.createContext("/v1/servers", exchange -> watch(exchange, -1));
         list.start();
     }
 
@@ -78,8 +81,27 @@
         return "127.0.0.1:" + list.getAddress().getPort();
     }
 
+    /** A list for that sidecar alone, on which each endpoint is behind a link of its own; its address. */
+    String listFor(int sidecar) throws IOException {
+        Map<Endpoint, TcpLink> own = new LinkedHashMap<>();
+        for (Endpoint endpoint : endpoints) {
+            own.put(endpoint, new TcpLink("127.0.0.1:" + endpoint.server.getAddress().getPort()));
+        }
+        links.put(sidecar, own);
+        HttpServer server = server(threads);
+        server.createContext("/v1/servers", exchange -> watch(exchange, sidecar));
+        server.start();
+        lists.put(sidecar, server);
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    /** The link between that sidecar and an endpoint. */
+    TcpLink link(int sidecar, Endpoint endpoint) {
+        return links.get(sidecar).get(endpoint);
+    }
+
     /** The whole list to who has none; then nothing changes, and a watch waits as long as it may. */
-    private void watch(HttpExchange exchange) throws IOException {
+    private void watch(HttpExchange exchange, int sidecar) throws IOException {
         try (exchange) {
             String query = String.valueOf(exchange.getRequestURI().getQuery());
             boolean first = query.contains("since=0") || !query.contains("since=");
@@ -88,7 +110,7 @@
                 for (Endpoint endpoint : endpoints) {
                     Map<String, Object> row = new LinkedHashMap<>();
                     row.put("id", endpoint.id);
-                    row.put("addr", "127.0.0.1:" + endpoint.server.getAddress().getPort());
+                    row.put("addr", sidecar < 0 ? "127.0.0.1:" + endpoint.server.getAddress().getPort() : link(sidecar, endpoint).address());
                     row.put("zone", endpoint.zone);
                     row.put("kind", "small");
                     row.put("cell", 0);
@@ -111,7 +133,13 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
+        for (Map<Endpoint, TcpLink> own : links.values()) {
+            for (TcpLink link : own.values()) {
+                link.close();
+            }
+        }
+        lists.values().forEach(l -> l.stop(0));
         endpoints.forEach(e -> e.server.stop(0));
         list.stop(0);
         threads.shutdownNow();
--- a/fleet/src/test/java/dillcross/fleet/MembersIT.java
+++ b/fleet/src/test/java/dillcross/fleet/MembersIT.java
@@ -196,6 +196,30 @@
         }
     }
 
+    @Test
+    void oneSidecarCutOffFromAZoneOfEndpointsServesOnAndGoesBack() throws Exception {
+        fleet = new Fleet(Fleet.root(), folder, 2, List.of("east", "west"), List.of(0), INTERVAL_MS, 7);
+        try (StandIns standIns = new StandIns(4, List.of("east", "west"), 5)) {
+            fleet.lists(0, standIns.listFor(0));
+            fleet.lists(1, standIns.listFor(1));
+            fleet.startAll();
+            assertNotEquals(-1, Fleet.until(LONG_MS, () -> fleet.listensNow(0) != null && fleet.listensNow(1) != null));
+            List<StandIns.Endpoint> east = standIns.endpoints.stream().filter(e -> e.zone.equals("east")).toList();
+            try (Load one = new Load("a", () -> fleet.listensNow(0), 40); Load other = new Load("b", () -> fleet.listensNow(1), 40)) {
+                assertNotEquals(-1, Fleet.until(LONG_MS, () -> one.acked.get() > 40 && east.get(0).pushes.get() > 0), "its own zone is in use");
+                east.forEach(e -> standIns.link(0, e).cut(true, true)); // closes nothing
+                long before = one.acked.get();
+                assertNotEquals(-1, Fleet.until(LONG_MS, () -> one.acked.get() > before + 100), "it serves on from the other zone");
+                east.forEach(e -> standIns.link(0, e).cut(false, false));
+                long connections = east.stream().mapToLong(e -> standIns.link(0, e).connections.get()).sum();
+                assertNotEquals(-1, Fleet.until(LONG_MS, () -> east.stream().mapToLong(e -> standIns.link(0, e).connections.get()).sum() > connections), "it goes back");
+                assertEquals(0, one.unheard.get() + other.unheard.get(), "each op was answered");
+                assertEquals(other.sent.get(), other.acked.get() + other.nacked.get() + other.failed.get(), 40, "the other sidecar saw nothing of it");
+                assertTrue(other.acked.get() > 0.9 * other.sent.get() - 40);
+            }
+        }
+    }
+
     @Test
     void noProcessOutlivesTheOneThatStartedIt() throws Exception {
         Path root = Fleet.root();
