Swarm plays on the emulator's timeline; rig and emulator share seeds, ranges and faulty input

Cause: read once more, the rig and the swarm had written again what stood in the emulator: a queue of events by time (Timeline), A..B (three times, now Seeds), a faulty input and how it is said (Faulty, FaultyInput), a range (Range). CPU of members was summed in two places, pages were put together in two, an address as text in three.

Change: each has one piece; a copied filter in Membership and two needless expressions in the Explorer are gone.

--- a/emulator/src/main/java/dillcross/emulator/cli/Commands.java
+++ b/emulator/src/main/java/dillcross/emulator/cli/Commands.java
@@ -8,6 +8,7 @@
 import dillcross.emulator.scenario.Faulty;
 import dillcross.emulator.scenario.Scenario;
 import dillcross.emulator.scenario.ScenarioReader;
+import dillcross.emulator.scenario.Seeds;
 import dillcross.emulator.scenario.Trouble.Drawn;
 import dillcross.emulator.world.Day;
 import dillcross.emulator.world.Troubles;
@@ -72,15 +73,10 @@
                 @Option(names = "--jobs", paramLabel = "J", description = "Days at a time (default: one a core).") Integer jobs,
                 @Option(names = "--quiet", description = "No progress.") boolean quiet) throws InterruptedException, Faulty {
             Scenario scenario = ScenarioReader.read(file);
-            if (!seeds.matches("[0-9]{1,18}\\.\\.[0-9]{1,18}")) {
-                System.err.println("dillcross: --seeds takes two numbers as A..B, and not " + seeds);
-                return FAULTY;
-            }
-            long from = Long.parseLong(seeds.substring(0, seeds.indexOf('.')));
-            long to = Long.parseLong(seeds.substring(seeds.lastIndexOf('.') + 1));
+            Seeds named = Seeds.of(seeds, 18);
             int cores = jobs == null ? Runtime.getRuntime().availableProcessors() : jobs;
-            if (to < from || cores < 1) {
-                System.err.println("dillcross: " + (cores < 1 ? "--jobs has to be 1 at least" : "--seeds " + seeds + " names none"));
+            if (cores < 1) {
+                System.err.println("dillcross: --jobs has to be 1 at least");
                 return FAULTY;
             }
             long[] state = {0, System.nanoTime()}; // days done, when last told
@@ -94,9 +90,9 @@
                 }
                 if (!quiet && System.nanoTime() - state[1] > 2_000_000_000L) {
                     state[1] = System.nanoTime();
-                    System.err.println(state[0] + " of " + (to - from + 1) + " seeds");
+                    System.err.println(state[0] + " of " + named.count() + " seeds");
                 }
-            }).play(from, to);
+            }).play(named.from(), named.to());
             double s = all.ns() / 1e9;
             System.out.printf(Locale.ROOT, "%.1f s with %d jobs, %.0f s simulated: %.0f seeds, %.0f steps, %.0f turns, %.0f ops a second%n", s, cores,
                     all.simulatedUs() / 1e6, all.seeds() / s, all.steps() / s, all.turns() / s, all.ops() / s);
@@ -136,17 +132,15 @@
         int members(@Option(names = "--members", defaultValue = "60", paramLabel = "N", description = "How many (4 to 4000; default: 60).") int members,
                 @Option(names = "--seeds", defaultValue = "1..10", paramLabel = "A..B") String seeds,
                 @Option(names = "--fault", paramLabel = "WORD", description = "none, loss30, one-way, flapping-cut, halves, pauses, slow or all (default: each of them).") String fault,
-                @Option(names = "--jobs", paramLabel = "J") Integer jobs) throws InterruptedException {
+                @Option(names = "--jobs", paramLabel = "J") Integer jobs) throws InterruptedException, Faulty {
+            Seeds named = Seeds.of(seeds, 9);
             List<Trial.Fault> faults = java.util.Arrays.stream(Trial.Fault.values()).filter(f -> fault == null || f.word().equals(fault)).toList();
-            if (members < 4 || members > 4000 || !seeds.matches("[0-9]{1,9}\\.\\.[0-9]{1,9}") || faults.isEmpty()) {
-                System.err.println("dillcross: " + (members < 4 || members > 4000 ? "--members takes 4 to 4000" : faults.isEmpty() ? "--fault knows no " + fault
-                        : "--seeds takes two numbers as A..B, and not " + seeds));
+            if (members < 4 || members > 4000 || faults.isEmpty()) {
+                System.err.println("dillcross: " + (faults.isEmpty() ? "--fault knows no " + fault : "--members takes 4 to 4000"));
                 return FAULTY;
             }
-            long from = Long.parseLong(seeds.substring(0, seeds.indexOf('.')));
-            long to = Long.parseLong(seeds.substring(seeds.lastIndexOf('.') + 1));
             int cores = jobs == null ? Runtime.getRuntime().availableProcessors() : Math.max(1, jobs);
-            return Trial.table(members, from, to, faults, cores, System.out::println) ? CLEAN : BROKEN;
+            return Trial.table(members, named.from(), named.to(), faults, cores, System.out::println) ? CLEAN : BROKEN;
         }
 
         @Command(name = "explain", mixinStandardHelpOptions = true, description = "Tell the story of one op.")
@@ -163,15 +157,6 @@
         }
     }
 
-    /** A scenario that can't be used is said and no failure of ours, for each command alike. */
-    static int faulty(Exception e, CommandLine line, CommandLine.ParseResult parsed) throws Exception {
-        if (!(e instanceof Faulty)) {
-            throw e;
-        }
-        System.err.println(e.getMessage());
-        return FAULTY;
-    }
-
     static void summary(Scenario scenario, Day.Result day, PrintStream out) {
         out.printf(Locale.ROOT, "%s, seed %d: %.1f s simulated, %d steps, %d turns of %d sidecars%n", scenario.name(), day.seed(), day.simulatedUs() / 1e6, day.steps(),
                 day.turns(), scenario.sidecars().count());
--- a/emulator/src/main/java/dillcross/emulator/cli/Main.java
+++ b/emulator/src/main/java/dillcross/emulator/cli/Main.java
@@ -18,6 +18,6 @@
     static int run(String... args) {
         LogManager.getLogManager().reset(); // thousands of sidecars say each that they are ready
         Logger.getLogger("dillcross").setLevel(Level.OFF);
-        return new CommandLine(new Commands()).setExecutionExceptionHandler(Commands::faulty).execute(args);
+        return new CommandLine(new Commands()).setExecutionExceptionHandler(new FaultyInput()).execute(args);
     }
 }
--- a/emulator/src/main/java/dillcross/emulator/members/Explorer.java
+++ b/emulator/src/main/java/dillcross/emulator/members/Explorer.java
@@ -105,7 +105,7 @@
 
     private void take(Step step) {
         String name = step.name();
-        int member = Math.max(0, name.chars().filter(Character::isDigit).map(c -> c - '0').findFirst().orElse(0));
+        int member = name.chars().filter(Character::isDigit).map(c -> c - '0').findFirst().orElse(0);
         switch (step) {
             case PASS -> pass(now + INTERVAL / 3);
             case DELIVER -> deliver(0, false);
@@ -118,7 +118,7 @@
                 }
             }
             case PAUSE_0, PAUSE_1, PAUSE_2 -> {
-                excused |= true;
+                excused = true;
                 paused[member] = true;
                 run(LONG);
                 paused[member] = false;
--- a/emulator/src/main/java/dillcross/emulator/members/Swarm.java
+++ b/emulator/src/main/java/dillcross/emulator/members/Swarm.java
@@ -1,6 +1,7 @@
 package dillcross.emulator.members;
 
 import dillcross.emulator.chance.Chance;
+import dillcross.emulator.time.Timeline;
 import dillcross.membership.Member;
 import dillcross.membership.Membership;
 import dillcross.membership.Packet;
@@ -8,9 +9,7 @@
 import dillcross.membership.State;
 import dillcross.net.PacketCodec;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.function.IntPredicate;
 
 /**
@@ -37,10 +36,8 @@
 
     private record Coming(String from, byte[] bytes) { }
 
-    private record Event(long atUs, long order, Runnable what) { }
-
     private static final int SOCKET = 300; // datagrams that wait in one that is not read
-    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atUs).thenComparingLong(Event::order));
+    private final Timeline time = new Timeline(1_000_000_000L);
     private final List<Node> nodes = new ArrayList<>();
     private final List<Ill> ills = new ArrayList<>();
     private final Chance chance;
@@ -51,8 +48,6 @@
     private final long intervalUs;
     private final long timeoutUs;
     private final long wayUs;
-    private long now = 1_000_000_000L;
-    private long order;
     private long packets;
     private long bytes;
 
@@ -74,7 +69,7 @@
     }
 
     public long now() {
-        return now;
+        return time.now();
     }
 
     public long packets() {
@@ -110,12 +105,12 @@
     /** Starts a process in that place, by a wall clock that is apart by so much. */
     public void start(int member, long shiftUs) {
         Node node = nodes.get(member);
-        node.boot = Math.max(1, now + shiftUs);
+        node.boot = Math.max(1, now() + shiftUs);
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < asked; i++) {
             seeds.add(address(i));
         }
-        node.is = new Membership(seed * 31 + member * 7919L + node.boot, now, name(member), address(member), zone(member), node.boot, seeds, intervalUs,
+        node.is = new Membership(seed * 31 + member * 7919L + node.boot, now(), name(member), address(member), zone(member), node.boot, seeds, intervalUs,
                 timeoutUs, 4096, 1200, 20_000);
         node.waiting.clear();
         node.pausedUntilUs = 0;
@@ -126,7 +121,7 @@
 
     public void kill(int member) {
         nodes.get(member).is = null;
-        nodes.get(member).diedUs = now;
+        nodes.get(member).diedUs = now();
     }
 
     public boolean runs(int member) {
@@ -136,9 +131,9 @@
     /** Its process stands still for so long: no timer runs, what comes waits. */
     public void pause(int member, long forUs) {
         Node node = nodes.get(member);
-        node.pausedUntilUs = now + forUs;
+        node.pausedUntilUs = now() + forUs;
         Membership of = node.is;
-        at(node.pausedUntilUs, () -> {
+        time.at(node.pausedUntilUs, () -> {
             if (node.is == of && of != null) {
                 List<Coming> came = List.copyOf(node.waiting);
                 node.waiting.clear();
@@ -162,40 +157,33 @@
         return null;
     }
 
-    private void at(long us, Runnable what) {
-        events.add(new Event(us, order++, what));
-    }
-
     public void after(long us, Runnable what) {
-        at(now + us, what);
+        time.after(us, what);
     }
 
     /** Plays on to that time. */
     public void pass(long us) {
-        long until = now + us;
-        while (!events.isEmpty() && events.peek().atUs <= until) {
-            Event event = events.poll();
-            now = event.atUs;
-            event.what.run();
+        long until = now() + us;
+        while (time.step(until)) {
+            continue; // each event does its own
         }
-        now = until;
     }
 
     private void turn(Node node) {
-        if (node.is == null || now < node.pausedUntilUs) {
+        if (node.is == null || now() < node.pausedUntilUs) {
             return;
         }
-        if (now >= node.is.dueUs()) {
-            node.is.tick(now);
+        if (now() >= node.is.dueUs()) {
+            node.is.tick(now());
         }
         for (Sent sent; (sent = node.is.next()) != null;) {
             send(node.number, member(sent.to()), codec.write(sent.packet()));
         }
-        long due = Math.max(now + 1, node.is.dueUs());
-        if (due < node.wakeUs || node.wakeUs <= now) {
+        long due = Math.max(now() + 1, node.is.dueUs());
+        if (due < node.wakeUs || node.wakeUs <= now()) {
             node.wakeUs = due;
             Membership of = node.is;
-            at(due, () -> {
+            time.at(due, () -> {
                 if (node.is == of) {
                     if (node.wakeUs == due) {
                         node.wakeUs = Long.MAX_VALUE;
@@ -221,7 +209,7 @@
             }
         }
         for (int i = 0; i < copies && to < nodes.size(); i++) {
-            at(now + us + i * 100, () -> arrive(nodes.get(to), new Coming(address(from), what)));
+            time.at(now() + us + i * 100, () -> arrive(nodes.get(to), new Coming(address(from), what)));
         }
     }
 
@@ -229,7 +217,7 @@
         if (node.is == null) {
             return;
         }
-        if (now < node.pausedUntilUs) {
+        if (now() < node.pausedUntilUs) {
             if (node.waiting.size() < SOCKET) {
                 node.waiting.add(coming);
             }
@@ -244,6 +232,6 @@
         if (packet == null) {
             throw new IllegalStateException("a packet that was written can't be read");
         }
-        node.is.received(now, coming.from, packet);
+        node.is.received(now(), coming.from, packet);
     }
 }
--- a/fleet/src/main/java/dillcross/fleet/Commands.java
+++ b/fleet/src/main/java/dillcross/fleet/Commands.java
@@ -1,7 +1,10 @@
 package dillcross.fleet;
 
+import dillcross.emulator.scenario.Faulty;
+import dillcross.emulator.scenario.Seeds;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine;
@@ -14,7 +17,6 @@
 final class Commands implements Runnable {
     private static final int CLEAN = 0;
     private static final int BROKEN = 1;
-    private static final int FAULTY = 2;
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -57,7 +59,7 @@
                 @Option(names = "--rate", defaultValue = "20", paramLabel = "R", description = "Ops a second to each.") double rate,
                 @Option(names = "--out", required = true, paramLabel = "DIR") Path out) throws Exception {
             if (sidecars < 3 || sidecars > 30 || seconds < 1 || rate <= 0 || rate > 1000) {
-                throw new Experiment.Faulty("dillcross: --sidecars takes 3 to 30, --seconds 1 at least, --rate up to 1000");
+                throw new Faulty(List.of("dillcross: --sidecars takes 3 to 30, --seconds 1 at least, --rate up to 1000"));
             }
             return Compare.play(sidecars, seconds, rate, out, System.out) ? CLEAN : BROKEN;
         }
@@ -66,11 +68,7 @@
         int sweep(@Parameters(paramLabel = "EXPERIMENT") Path file, @Option(names = "--seeds", required = true, paramLabel = "A..B") String seeds,
                 @Option(names = "--out", required = true, paramLabel = "DIR") Path out) throws Exception {
             Experiment experiment = Experiment.read(file);
-            if (!seeds.matches("[0-9]{1,9}\\.\\.[0-9]{1,9}")) {
-                throw new Experiment.Faulty("dillcross: --seeds takes two numbers as A..B, and not " + seeds);
-            }
-            long from = Long.parseLong(seeds.substring(0, seeds.indexOf('.')));
-            long to = Long.parseLong(seeds.substring(seeds.lastIndexOf('.') + 1));
+            Seeds named = Seeds.of(seeds, 9);
             Histogram detect = new Histogram(3_600_000L, 3);
             Histogram agreed = new Histogram(3_600_000L, 3);
             long broken = 0;
@@ -78,7 +76,7 @@
             double hours = 0;
             double bytes = 0;
             double cpu = 0;
-            for (long seed = from; seed <= to; seed++) {
+            for (long seed = named.from(); seed <= named.to(); seed++) {
                 Run.Result result = new Run(experiment, seed, out.resolve("seed-" + seed)).play();
                 Files.writeString(out.resolve("seed-" + seed).resolve("summary.txt"), Report.text(result));
                 detect.add(result.detectMs());
@@ -91,9 +89,9 @@
                 for (String violation : result.violations()) {
                     System.out.println("seed " + seed + ": " + violation);
                 }
-                System.err.println("seed " + seed + " of " + to + ": violations " + broken);
+                System.err.println("seed " + seed + " of " + named.to() + ": violations " + broken);
             }
-            long count = to - from + 1;
+            long count = named.count();
             System.out.println("| experiment | sidecars | seeds | detect p50 | p99 | worst | false deaths an hour | agreed p50 | worst | bytes/s a member | CPU ms/s a member | violations |");
             System.out.printf(Locale.ROOT, "| %s | %d | %d | %.1f s | %.1f s | %.1f s | %.2f | %.1f s | %.1f s | %.0f | %.1f | %d |%n", experiment.name(), experiment.sidecars(), count,
                     detect.getValueAtPercentile(50) / 1e3, detect.getValueAtPercentile(99) / 1e3, detect.getMaxValue() / 1e3, wrong / Math.max(1e-9, hours),
@@ -101,13 +99,4 @@
             return broken == 0 ? CLEAN : BROKEN;
         }
     }
-
-    /** An experiment that can't be used is said, and is no failure of ours. */
-    static int faulty(Exception e, CommandLine line, CommandLine.ParseResult parsed) throws Exception {
-        if (!(e instanceof Experiment.Faulty)) {
-            throw e;
-        }
-        System.err.println(e.getMessage());
-        return FAULTY;
-    }
 }
--- a/fleet/src/main/java/dillcross/fleet/Compare.java
+++ b/fleet/src/main/java/dillcross/fleet/Compare.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 
@@ -33,7 +32,8 @@
             Thread.sleep(5000);
             warm.forEach(Load::close);
             Thread.sleep(1500);
-            long[] cpu = {cpu(fleet, with), cpu(fleet, fleet.those(m -> m >= each))};
+            List<Set<Integer>> kinds = List.of(with, fleet.those(m -> m >= each));
+            List<Long> cpu = kinds.stream().map(fleet::cpuMs).toList();
             long bytes = fleet.plane.bytes.get();
             List<Load> loads = Load.all(fleet, rate);
             Thread.sleep(1000L * seconds / 2);
@@ -47,13 +47,13 @@
             boolean answered = true;
             for (int kind = 0; kind < 2; kind++) {
                 int from = kind * each;
-                List<Load> own = IntStream.range(from, from + each - 1).mapToObj(loads::get).collect(Collectors.toList());
+                List<Load> own = IntStream.range(from, from + each - 1).mapToObj(loads::get).toList();
                 Histogram all = new Histogram(60_000_000L, 3);
                 own.forEach(l -> all.add(l.latencyUs));
                 long sent = own.stream().mapToLong(l -> l.sent.get()).sum();
                 long acked = own.stream().mapToLong(l -> l.acked.get()).sum();
                 answered &= own.stream().allMatch(l -> l.unheard.get() == 0);
-                double used = (cpu(fleet, fleet.those(m -> m / each == from / each)) - cpu[kind]) / (seconds + 1.5) / each;
+                double used = (fleet.cpuMs(kinds.get(kind)) - cpu.get(kind)) / (seconds + 1.5) / each;
                 print.printf(Locale.ROOT, "| %s | %d | %d | %.2f ms | %.2f ms | %.2f ms | %d | %.1f | %s |%n", kind == 0 ? "on" : "off", each - 1, sent, all.getValueAtPercentile(50) / 1e3,
                         all.getValueAtPercentile(99) / 1e3, all.getValueAtPercentile(99.9) / 1e3, sent - acked, used,
                         kind == 0 ? String.format(Locale.ROOT, "%.0f", (fleet.plane.bytes.get() - bytes) / (seconds + 1.5) / each) : "0");
@@ -61,8 +61,4 @@
             return answered;
         }
     }
-
-    private static long cpu(Fleet fleet, Set<Integer> members) {
-        return members.stream().mapToLong(m -> fleet.child(m).cpuMs()).sum();
-    }
 }
--- a/fleet/src/main/java/dillcross/fleet/Experiment.java
+++ b/fleet/src/main/java/dillcross/fleet/Experiment.java
@@ -1,5 +1,7 @@
 package dillcross.fleet;
 
+import dillcross.emulator.scenario.Faulty;
+import dillcross.emulator.scenario.Range;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -33,16 +35,7 @@
      * @param forS how long it lasts; killed for 0 s stays away
      * @param every seconds after which it comes again, 0 for once
      */
-    record Fault(Kind kind, double[] atS, double[] forS, String of, String to, double share, double ms, double every, int times) { }
-
-    /** An experiment that can't be used; the message says where and why. */
-    static final class Faulty extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Faulty(String message) {
-            super(message);
-        }
-    }
+    record Fault(Kind kind, Range atS, Range forS, String of, String to, double share, double ms, double every, int times) { }
 
     private static final Set<String> KEYS = Set.of("name", "sidecars", "zones", "seeds", "interval_ms", "length_s", "settle_s", "fault");
     private static final Set<String> OF_FAULT = Set.of("kind", "at_s", "for_s", "of", "to", "share", "ms", "every_s", "times");
@@ -53,10 +46,10 @@
         try {
             all = Toml.parse(file);
         } catch (IOException e) {
-            throw new Faulty("dillcross: " + file + " can't be read: " + e);
+            throw new Faulty(List.of("dillcross: " + file + " can't be read: " + e));
         }
         if (all.hasErrors()) {
-            throw new Faulty("dillcross: " + file + " line " + all.errors().get(0).position().line() + ": " + all.errors().get(0).getMessage());
+            throw new Faulty(List.of("dillcross: " + file + " line " + all.errors().get(0).position().line() + ": " + all.errors().get(0).getMessage()));
         }
         Reader at = new Reader(file, all);
         at.known(KEYS);
@@ -123,19 +116,18 @@
             return ((Number) value).doubleValue();
         }
 
-        double[] range(String key, double ifAbsent) throws Faulty {
+        Range range(String key, double ifAbsent) throws Faulty {
             if (table.contains(key) && table.get(key) instanceof TomlArray pair) {
                 if (pair.size() != 2 || !(pair.get(0) instanceof Number a) || !(pair.get(1) instanceof Number b) || a.doubleValue() < 0 || b.doubleValue() < a.doubleValue()) {
                     throw fault(key, "has to be two numbers, the smaller first");
                 }
-                return new double[] {((Number) pair.get(0)).doubleValue(), ((Number) pair.get(1)).doubleValue()};
+                return new Range(((Number) pair.get(0)).doubleValue(), ((Number) pair.get(1)).doubleValue());
             }
-            double one = number(key, ifAbsent, 0, 7200);
-            return new double[] {one, one};
+            return Range.of(number(key, ifAbsent, 0, 7200));
         }
 
         Faulty fault(String key, String what) {
-            return new Faulty("dillcross: " + file + (table.contains(key) ? " line " + table.inputPositionOf(key).line() : "") + ", " + key + ": " + what);
+            return new Faulty(List.of("dillcross: " + file + (table.contains(key) ? " line " + table.inputPositionOf(key).line() : "") + ", " + key + ": " + what));
         }
     }
 }
--- a/fleet/src/main/java/dillcross/fleet/Fleet.java
+++ b/fleet/src/main/java/dillcross/fleet/Fleet.java
@@ -151,6 +151,11 @@
         }
     }
 
+    /** CPU that these used so far, in milliseconds; those that do not run count for nothing. */
+    long cpuMs(Set<Integer> members) {
+        return members.stream().filter(this::runs).mapToLong(m -> children[m].cpuMs()).sum();
+    }
+
     /** Null where it gives none, as when it is stopped or starts. */
     View view(int member) {
         Child child = children[member];
--- a/fleet/src/main/java/dillcross/fleet/Main.java
+++ b/fleet/src/main/java/dillcross/fleet/Main.java
@@ -1,5 +1,6 @@
 package dillcross.fleet;
 
+import dillcross.emulator.cli.FaultyInput;
 import picocli.CommandLine;
 
 /** Where the rig starts. */
@@ -15,6 +16,6 @@
 
     /** The exit status: 0 clean, 1 violations, 2 faulty input. */
     static int run(String... args) {
-        return new CommandLine(new Commands()).setExecutionExceptionHandler(Commands::faulty).execute(args);
+        return new CommandLine(new Commands()).setExecutionExceptionHandler(new FaultyInput()).execute(args);
     }
 }
--- a/fleet/src/main/java/dillcross/fleet/Report.java
+++ b/fleet/src/main/java/dillcross/fleet/Report.java
@@ -37,17 +37,26 @@
     }
 
     static void write(Run.Result result, Path out) throws IOException {
-        List<String> charts = List.of(svg(held(result)));
-        Files.writeString(out.resolve("held.svg"), charts.get(0));
+        String chart = svg(held(result));
+        Files.writeString(out.resolve("held.svg"), chart);
         StringBuilder rows = new StringBuilder();
         for (Map.Entry<String, Long> count : result.counts().entrySet()) {
             rows.append("<tr><td>").append(count.getKey()).append("</td><td>").append(count.getValue()).append("</td></tr>");
         }
-        String page = "<!doctype html><html><head><meta charset=\"utf-8\"><title>" + escape(result.experiment().name()) + "</title><style>body{font-family:sans-serif;max-width:64em;"
-                + "margin:2em auto}pre{background:#f4f4f4;padding:1em;white-space:pre-wrap}td{padding:0 1em 0 0}</style></head><body><h1>" + escape(result.experiment().name()) + ", seed "
-                + result.seed() + "</h1><pre>" + escape(text(result)) + "</pre><h2>Who held whom for what</h2>" + charts.get(0).substring(charts.get(0).indexOf("<svg"))
-                + "<h2>Counts of all members</h2><table>" + rows + "</table></body></html>\n";
-        Files.writeString(out.resolve("report.html"), page);
+        Files.writeString(out.resolve("report.html"), page(result.experiment().name() + ", seed " + result.seed(), text(result),
+                "<h2>Who held whom for what</h2>" + inline(chart) + "<h2>Counts of all members</h2><table>" + rows + "</table>"));
+    }
+
+    /** One page that needs nothing else. */
+    private static String page(String title, String text, String rest) {
+        return "<!doctype html><html><head><meta charset=\"utf-8\"><title>" + escape(title) + "</title><style>body{font-family:sans-serif;max-width:64em;margin:2em auto}"
+                + "pre{background:#f4f4f4;padding:1em;white-space:pre-wrap}td{padding:0 1em 0 0}</style></head><body><h1>" + escape(title) + "</h1><pre>" + escape(text) + "</pre>" + rest
+                + "</body></html>\n";
+    }
+
+    /** Without what a file of its own begins with. */
+    private static String inline(String svg) {
+        return svg.substring(svg.indexOf("<svg"));
     }
 
     /** The demo's: pushes by endpoint and ops by outcome, a second. */
@@ -56,9 +65,7 @@
         String second = svg(rates("ops of clients", List.of("acked", "nacked or failed", "no sidecar there"), ops, stepS));
         Files.writeString(out.resolve("pushes.svg"), first);
         Files.writeString(out.resolve("ops.svg"), second);
-        Files.writeString(out.resolve("report.html"), "<!doctype html><html><head><meta charset=\"utf-8\"><title>dillcross demo</title></head><body style=\"font-family:sans-serif;"
-                + "max-width:64em;margin:2em auto\"><h1>dillcross demo</h1><pre>" + escape(String.join("\n", news) + "\n" + told) + "</pre>" + first.substring(first.indexOf("<svg"))
-                + second.substring(second.indexOf("<svg")) + "</body></html>\n");
+        Files.writeString(out.resolve("report.html"), page("dillcross demo", String.join("\n", news) + "\n" + told, inline(first) + inline(second)));
     }
 
     private static XYChart rates(String title, List<String> names, List<double[]> sums, double stepS) {
--- a/fleet/src/main/java/dillcross/fleet/Run.java
+++ b/fleet/src/main/java/dillcross/fleet/Run.java
@@ -79,8 +79,8 @@
             long fromNs = System.nanoTime();
             List<Schedule.Drawn> waiting = new ArrayList<>(schedule.faults());
             TreeMap<Long, List<Runnable>> ends = new TreeMap<>();
-            long cpu = cpu(fleet);
-            long sent = sent(fleet);
+            long cpu = fleet.cpuMs(fleet.all());
+            long sent = fleet.plane.bytes.get();
             while (true) {
                 long ms = (System.nanoTime() - fromNs) / 1_000_000;
                 while (!waiting.isEmpty() && waiting.get(0).atMs() <= ms) {
@@ -98,8 +98,8 @@
                 Thread.sleep(Math.max(1, LOOK_MS - ((System.nanoTime() - fromNs) / 1_000_000 - ms)));
             }
             double seconds = (System.nanoTime() - fromNs) / 1e9;
-            double cpuRate = (cpu(fleet) - cpu) / seconds / experiment.sidecars();
-            double sentRate = (sent(fleet) - sent) / seconds / experiment.sidecars();
+            double cpuRate = (fleet.cpuMs(fleet.all()) - cpu) / seconds / experiment.sidecars();
+            double sentRate = (fleet.plane.bytes.get() - sent) / seconds / experiment.sidecars();
             long agreed = Fleet.until(Math.round(1000 * experiment.settleS()), () -> fleet.agree(fleet.those(fleet::runs)));
             if (agreed < 0) {
                 violations.add("not all held just the living for alive " + experiment.settleS() + " s after the last fault");
@@ -118,14 +118,6 @@
         }
     }
 
-    private static long cpu(Fleet fleet) {
-        return fleet.those(fleet::runs).stream().mapToLong(m -> fleet.child(m).cpuMs()).sum();
-    }
-
-    private static long sent(Fleet fleet) {
-        return fleet.plane.bytes.get();
-    }
-
     private void begin(Fleet fleet, Schedule.Drawn drawn, long ms, TreeMap<Long, List<Runnable>> ends, PrintWriter timeline) throws IOException, InterruptedException {
         List<Runnable> end = ends.computeIfAbsent(ms + drawn.forMs(), at -> new ArrayList<>());
         double share = drawn.fault().share();
--- a/fleet/src/main/java/dillcross/fleet/Schedule.java
+++ b/fleet/src/main/java/dillcross/fleet/Schedule.java
@@ -31,8 +31,8 @@
             Experiment.Fault fault = experiment.faults().get(i);
             for (int k = 0; k < fault.times(); k++) {
                 Chance own = all.named(i + " " + k);
-                long at = Math.round(1000 * (own.between(fault.atS()[0], fault.atS()[1]) + k * fault.every()));
-                long lasts = Math.round(1000 * own.between(fault.forS()[0], fault.forS()[1]));
+                long at = Math.round(1000 * (own.between(fault.atS().least(), fault.atS().most()) + k * fault.every()));
+                long lasts = Math.round(1000 * own.between(fault.forS().least(), fault.forS().most()));
                 Set<Integer> of = whom(experiment, fault.of(), own, Set.of());
                 drawn.add(new Drawn(at, lasts, fault, of, whom(experiment, fault.to(), own, of)));
             }
--- a/fleet/src/test/java/dillcross/fleet/ExperimentTest.java
+++ b/fleet/src/test/java/dillcross/fleet/ExperimentTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dillcross.emulator.scenario.Faulty;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.stream.Stream;
@@ -49,7 +50,7 @@
     void aFaultNamesLineAndKey(String text, int line, String key) throws Exception {
         Path file = folder.resolve("x.toml");
         Files.writeString(file, text.replace(';', '\n'));
-        String said = assertThrows(Experiment.Faulty.class, () -> Experiment.read(file)).getMessage();
+        String said = assertThrows(Faulty.class, () -> Experiment.read(file)).getMessage();
         assertTrue(said.contains("line " + line) && said.contains(key == null ? "" : key), said);
         assertEquals(2, Main.run("fleet", "run", file.toString(), "--out", folder.toString()));
     }
--- a/sidecar/src/main/java/dillcross/membership/Membership.java
+++ b/sidecar/src/main/java/dillcross/membership/Membership.java
@@ -206,9 +206,9 @@
         }
         if (now >= syncUs) {
             syncUs = now + (long) (SYNC * intervalUs * (0.5 + random.nextDouble()));
-            Claim one = any(c -> c.state().live());
-            if (one != null) {
-                send(one.address(), Packet.Kind.DIGEST, 0, null, digest(), List.of());
+            List<Claim> others = others();
+            if (!others.isEmpty()) {
+                send(others.get(random.nextInt(others.size())).address(), Packet.Kind.DIGEST, 0, null, digest(), List.of());
             }
         }
         expectedUs = due();
@@ -513,8 +513,9 @@
 
     private void count() {
         addresses.clear();
-        others().forEach(c -> addresses.add(c.address()));
-        live = (int) table.values().stream().filter(h -> h.claim.state().live()).count();
+        List<Claim> others = others();
+        others.forEach(c -> addresses.add(c.address()));
+        live = others.size();
     }
 
     /** Long enough for a refutation to come round, and longer while we alone say so or are not well ourselves. */
@@ -545,11 +546,6 @@
         return table.values().stream().map(h -> h.claim).filter(c -> c.state().live()).toList();
     }
 
-    private Claim any(java.util.function.Predicate<Claim> which) {
-        List<Claim> all = table.values().stream().map(h -> h.claim).filter(which).toList();
-        return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
-    }
-
     /** What we hold against one who spoke to us, for it to refute; null where nothing. */
     private Claim about(Claim speaker) {
         Held held = table.get(speaker.name());
--- a/sidecar/src/main/java/dillcross/net/Address.java
+++ b/sidecar/src/main/java/dillcross/net/Address.java
@@ -9,6 +9,12 @@
     private Address() {
     }
 
+    /** As {@link #parse} reads it. */
+    public static String text(InetSocketAddress address) {
+        String host = address.getAddress().getHostAddress();
+        return (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + address.getPort();
+    }
+
     /** Null where it is none. */
     public static InetSocketAddress parse(String text) {
         if (text == null || !text.matches("([0-9.]+|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}")) {
--- a/sidecar/src/main/java/dillcross/net/Members.java
+++ b/sidecar/src/main/java/dillcross/net/Members.java
@@ -54,7 +54,7 @@
     /** What comes faster is thrown away unread: a flood must not take the thread from the ops. Members' own addresses have room of their own. */
     @Override
     public void heard(InetSocketAddress from, java.nio.ByteBuffer bytes) {
-        String address = text(from);
+        String address = Address.text(from);
         boolean ours = membership.knows(address);
         if ((ours ? known : unknown) < 1) {
             flooded++;
@@ -73,11 +73,6 @@
         }
     }
 
-    private static String text(InetSocketAddress address) {
-        String host = address.getAddress().getHostAddress();
-        return (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + address.getPort();
-    }
-
     /** Before what has come is read. */
     void look(long nowUs) {
         now = nowUs;
--- a/sidecar/src/main/java/dillcross/net/PacketCodec.java
+++ b/sidecar/src/main/java/dillcross/net/PacketCodec.java
@@ -141,20 +141,13 @@
 
     private static Claim claim(JsonParser in) throws IOException {
         need(in.currentToken() == JsonToken.START_ARRAY);
-        in.nextToken();
-        String name = text(in, 64);
-        in.nextToken();
-        String address = text(in, 56);
-        in.nextToken();
-        String zone = text(in, 64);
-        in.nextToken();
-        long boot = number(in, 0, Long.MAX_VALUE);
-        in.nextToken();
-        long incarnation = number(in, 0, Long.MAX_VALUE);
-        in.nextToken();
-        int state = (int) number(in, 0, STATES.length - 1);
-        in.nextToken();
-        String by = text(in, 64);
+        String name = nextText(in, 64);
+        String address = nextText(in, 56);
+        String zone = nextText(in, 64);
+        long boot = nextNumber(in, 0, Long.MAX_VALUE);
+        long incarnation = nextNumber(in, 0, Long.MAX_VALUE);
+        int state = (int) nextNumber(in, 0, STATES.length - 1);
+        String by = nextText(in, 64);
         end(in);
         need(!name.isEmpty() && Address.parse(address) != null);
         return new Claim(name, address, zone, boot, incarnation, STATES[state], by);
@@ -162,14 +155,10 @@
 
     private static Payload payload(JsonParser in) throws IOException {
         need(in.currentToken() == JsonToken.START_ARRAY);
-        in.nextToken();
-        String origin = text(in, 64);
-        in.nextToken();
-        long boot = number(in, 0, Long.MAX_VALUE);
-        in.nextToken();
-        int type = (int) number(in, 0, 1 << 20);
-        in.nextToken();
-        long version = number(in, 0, Long.MAX_VALUE);
+        String origin = nextText(in, 64);
+        long boot = nextNumber(in, 0, Long.MAX_VALUE);
+        int type = (int) nextNumber(in, 0, 1 << 20);
+        long version = nextNumber(in, 0, Long.MAX_VALUE);
         need(in.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT);
         byte[] bytes = in.getBinaryValue();
         need(bytes.length <= Payload.MOST_BYTES);
@@ -206,6 +195,16 @@
         }
     }
 
+    private static long nextNumber(JsonParser in, long least, long most) throws IOException {
+        in.nextToken();
+        return number(in, least, most);
+    }
+
+    private static String nextText(JsonParser in, int most) throws IOException {
+        in.nextToken();
+        return text(in, most);
+    }
+
     private static long number(JsonParser in, long least, long most) throws IOException {
         need(in.currentToken() == JsonToken.VALUE_NUMBER_INT);
         long number = in.getLongValue();
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyDatagrams.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyDatagrams.java
@@ -1,5 +1,6 @@
 package dillcross.net.grizzly;
 
+import dillcross.net.Address;
 import dillcross.net.Network;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -53,8 +54,7 @@
 
     @Override
     public String address() {
-        InetSocketAddress own = (InetSocketAddress) channel.socket().getLocalSocketAddress();
-        return own.getAddress().getHostAddress() + ":" + own.getPort();
+        return Address.text((InetSocketAddress) channel.socket().getLocalSocketAddress());
     }
 
     @Override
