A client's end is seen with what it sent, also behind more than a ring holds

Seen: a process was held (SIGSTOP) while 20 clients wrote a request each and left; 12 to 14 of the 20 were pushed on. With 200,000 bytes behind a request whose push waits for its connection, the client's end was not seen until the op's TTL. Excluded: the core and the module, which drop an op as soon as they are told (CoreTest, LogicTest). Cause: Ring.read stopped at a short read, so the end behind it was seen a select later, after the turn; Http.read paused reading at a full ring, and without reading there is no word of the end; the last piece of a flowing body went on before the end behind it was looked at. Change: a read goes on to where nothing more has come; 512 KiB are kept behind an open request while half of the buffers' limit is free; past that up to 1 MiB is read and dropped, and the answer closes the connection. Health and the operators' door still answer a call whose sender has ended its side.

--- a/sidecar/src/main/java/dillcross/net/Budget.java
+++ b/sidecar/src/main/java/dillcross/net/Budget.java
@@ -15,6 +15,11 @@
         return fits;
     }
 
+    /** Less than half of it is taken. */
+    boolean ample() {
+        return taken < most / 2;
+    }
+
     long taken() {
         return taken;
     }
--- a/sidecar/src/main/java/dillcross/net/Door.java
+++ b/sidecar/src/main/java/dillcross/net/Door.java
@@ -51,14 +51,10 @@
 
     @Override
     public void message(Link link, Message call, int fault) {
-        if (link.ended) {
-            link.close();
-        } else {
-            Message answer = call != null ? answer(call) : Message.answer(fault, "malformed call");
-            answer.fields().put("connection", "close");
-            link.closing = true;
-            link.write(answer);
-        }
+        Message answer = call != null ? answer(call) : Message.answer(fault, "malformed call");
+        answer.fields().put("connection", "close");
+        link.closing = true;
+        link.write(answer); // also where the end of the call has come with it: it was made
     }
 
     private Message answer(Message call) {
--- a/sidecar/src/main/java/dillcross/net/Http.java
+++ b/sidecar/src/main/java/dillcross/net/Http.java
@@ -13,13 +13,14 @@
     /** Takes on what has come on a link, and hands its part a message if that makes one. */
     static void read(Link link, boolean server) {
         if (link.reader.flows() && !link.closing) {
+            if (server && link.ended) {
+                link.close(); // a client that closes has gone, and the rest of what it asked for goes no further
+                return;
+            }
             came(link, server); // a client's time begins with its last byte, not when an endpoint takes that
             if (link.source != null) {
                 link.source.pump();
             }
-            if (server && link.ended) {
-                link.close(); // a client that closes has gone
-            }
             link.hold();
             return;
         }
@@ -38,7 +39,7 @@
                 return;
             }
         }
-        if (link.ended || link.in.full() && !busy) {
+        if (link.ended || link.full() && !busy) {
             link.close();
         } else if (busy) {
             link.hold();
--- a/sidecar/src/main/java/dillcross/net/Link.java
+++ b/sidecar/src/main/java/dillcross/net/Link.java
@@ -7,11 +7,14 @@
 /** One connection: its two rings, what is read from them, and whom it serves at the moment. */
 final class Link implements Network.Ear, Wire.Sent {
     private static final int MOST_DROPPED = 1 << 20; // of what still comes after a last answer
+    private static final int MOST_BEHIND = 512 << 10; // that is kept of what comes behind an open request
     private static final ByteBuffer DROPPED = ByteBuffer.allocate(32 << 10); // nobody looks at it
 
     private final Wire wire;
     final Part part; // that it serves
     private final boolean server;
+    private final Budget budget;
+    private final int usual; // bytes: the largest whole message, its framing, and what may come before it is read
     final Ring in;
     final Ring out;
     final Reader reader;
@@ -24,6 +27,7 @@
     private long moved; // how many did
     private long seen; // of them
     private boolean paused; // it reads nothing
+    private boolean overrun; // more came behind the request that it carries than is kept
     Object user; // the exchange that it carries; null while idle
     boolean connected;
     boolean ended; // nothing more comes from the other side
@@ -42,8 +46,9 @@
         this.wire = wire;
         this.part = part;
         server = requests;
-        // The largest whole message, its framing, and what may come before it is read.
-        in = new Ring(2 * whole, budget);
+        this.budget = budget;
+        usual = 2 * whole;
+        in = new Ring(requests ? MOST_BEHIND : usual, budget);
         out = new Ring(2 * Reader.WHOLE, budget);
         reader = new Reader(requests, whole, most);
     }
@@ -70,31 +75,70 @@
 
     /** Reads what has come into the ring; the end of the other side's sending is noted, not thrown. */
     void fill() {
+        int held = in.size();
         try {
-            int got = closing ? drop() : in.read(wire, reader.flows() ? Stream.WINDOW : Integer.MAX_VALUE);
-            moved += Math.max(0, got);
-            ended |= got < 0;
+            if (closing || overrun) {
+                ended |= drop();
+            } else {
+                ended |= in.read(wire, window());
+            }
         } catch (IOException e) {
             ended = true;
             reset = true;
         }
+        moved += Math.max(0, in.size() - held);
+    }
+
+    /**
+     * How much may lie in the ring. Behind an open request more than one message does: a client that has gone is seen only once
+     * all that it sent before is read.
+     */
+    private int window() {
+        return reader.flows() ? Stream.WINDOW : server && user != null && budget.ample() ? MOST_BEHIND : usual;
+    }
+
+    boolean full() {
+        return in.full() || in.size() >= window();
+    }
+
+    /** Whether something has come, or its end, that nobody has read yet: what carries nothing else must not be closed then. */
+    boolean stirs() {
+        int held = in.size();
+        fill();
+        return in.size() > held;
+    }
+
+    /**
+     * So much has come behind the request that it carries that no more is taken: only the end of it is still looked for, or
+     * a client that sends without end and goes would have its request sent on long after. It closes with its answer.
+     */
+    private void overruns() {
+        overrun = true;
+        in.skip(in.size());
+    }
+
+    boolean overrun() {
+        return overrun;
     }
 
     /**
      * Reads on after a last answer, so that no reset overtakes it, but not for ever: who has 60 MB to send would take the
      * time of the others.
      */
-    private int drop() throws IOException {
+    private boolean drop() throws IOException {
         in.skip(in.size());
         int got = wire.read(DROPPED.clear());
         dropped += Math.max(0, got);
-        return dropped > mayDrop ? -1 : got;
+        moved += Math.max(0, got);
+        return got < 0 || closing && dropped > mayDrop;
     }
 
     /** Stops reading while what has come can't go on, or each select would tell of it again. */
     void hold() {
-        boolean full = in.full() || reader.flows() && in.size() >= Stream.WINDOW;
-        if (full || ended) {
+        if (server && user != null && !reader.flows() && in.size() >= MOST_BEHIND) {
+            overruns();
+        }
+        if (full() || overrun && dropped > mayDrop || ended) {
             paused = true; // the transport may have enabled it again with an event of its own
             try {
                 wire.tells(false);
@@ -107,7 +151,7 @@
     /** Reads on, now that there is room again. */
     void resume() {
         boolean behind = reader.flows() && in.size() > Stream.WINDOW / 2;
-        if (paused && !ended && !in.full() && !behind) {
+        if (paused && !ended && !full() && !behind) {
             paused = false;
             try {
                 wire.tells(true);
--- a/sidecar/src/main/java/dillcross/net/Ring.java
+++ b/sidecar/src/main/java/dillcross/net/Ring.java
@@ -124,24 +124,20 @@
         return ByteBuffer.wrap(bytes, head, Math.min(size, bytes.length - head)).slice();
     }
 
-    /** Reads what there is room for in a window: how many, or -1 at the end. */
-    int read(Wire from, int window) throws IOException {
-        int all = 0;
+    /**
+     * Reads what there is room for in a window, up to where nothing more has come: true where that is the end. A short read is
+     * no sign that nothing is behind it: a client that has gone is to be seen before what it asked for goes further.
+     */
+    boolean read(Wire from, int window) throws IOException {
         int limit = Math.min(window, most);
-        while (size < limit && grow(size + 1)) {
+        int got = 1;
+        while (got > 0 && size < limit && grow(size + 1)) {
             int end = (head + size) & (bytes.length - 1);
             int space = end < head ? head - end : bytes.length - end;
-            int got = from.read(ByteBuffer.wrap(bytes, end, space));
-            if (got < 0) {
-                return all > 0 ? all : -1; // the next read says so again
-            }
-            size += got;
-            all += got;
-            if (got < space) {
-                break;
-            }
+            got = from.read(ByteBuffer.wrap(bytes, end, space));
+            size += Math.max(0, got);
         }
-        return all;
+        return got < 0;
     }
 
     private boolean grow(int need) {
