A stop takes what waits to be accepted, and leaves nothing open that can bring a request

Seen: of 30 requests that waited in the listening socket's queue when it closed, at a stop, all but the first few were reset. A request whose last byte came 1.2 s into a stop, its endpoint hanging, was cut off by the exit. Cause: one connection is accepted a select, and wind() closed the socket with the rest in its queue; ops late into a stop kept their whole TTL, past the exit; drained() passed over half a head and over new silent connections; idle connections closed without a look at the socket, and in the same turn as the listening socket. Change: closing an entrance takes what waits first (both networks); Life.within ends TTLs with the way out; drained() wants nothing that can still bring a request; idle connections are looked at before they are closed, 50 ms before the socket is.

--- a/emulator/src/main/java/dillcross/emulator/wire/EmulatedNetwork.java
+++ b/emulator/src/main/java/dillcross/emulator/wire/EmulatedNetwork.java
@@ -203,6 +203,11 @@
 
         @Override
         public void close() {
+            for (Socket waits; accepts && (waits = queue.poll()) != null;) {
+                waits.door = null;
+                waits.ear = taker.accepted(waits);
+                mark(waits);
+            }
             open = false;
             fabric.unlisten(address);
             queue.forEach(socket -> socket.end.breakOff());
--- a/sidecar/src/main/java/dillcross/net/Life.java
+++ b/sidecar/src/main/java/dillcross/net/Life.java
@@ -6,7 +6,8 @@
  */
 final class Life {
     private static final long HEARD_US = 1_500_000; // after a drain began: the front has heard the no, busy clients came back
-    private static final long LEAVE_US = 500_000; // after SIGTERM: it must leave the longest TTL for what comes until then
+    private static final long LEAVE_US = 450_000; // after SIGTERM: it must leave the longest TTL for what comes until then
+    private static final long LAST_US = 600_000; // beyond the longest TTL after SIGTERM: by then all has its answer
 
     private enum Stage { STARTING, SERVING, DRAINING, STOPPING }
 
@@ -76,6 +77,11 @@
         return nowUs >= letGoUs;
     }
 
+    /** Of a TTL, as much as the way out leaves: who brings a request late on a connection that stayed open gets its answer too. */
+    long within(long ttlUs, long longestUs, long nowUs) {
+        return stopping() ? Math.max(1, Math.min(ttlUs, stopUs + longestUs + LAST_US - nowUs)) : ttlUs;
+    }
+
     /** Since it was told to stop. */
     long stoppingForUs(long nowUs) {
         return nowUs - stopUs;
--- a/sidecar/src/main/java/dillcross/net/Listener.java
+++ b/sidecar/src/main/java/dillcross/net/Listener.java
@@ -94,10 +94,18 @@
                 last = last == null || last.asked > 1 && link.asked < 2 ? link : last;
             }
         }
-        if (last != null) {
-            last.close();
+        return last != null && part(last);
+    }
+
+    /** Closes what seems to carry nothing; but for a request that has come and is not read yet, which would be lost. */
+    private static boolean part(Link link) {
+        boolean stirs = link.stirs();
+        if (stirs) {
+            link.again();
+        } else {
+            link.close();
         }
-        return last != null;
+        return !stirs;
     }
 
     /** A good part of the limit is used up: clients may have a limit of their own, and come to its end before we do. */
@@ -140,9 +148,7 @@
 
     @Override
     public void message(Link link, Message request, int fault) {
-        if (link.ended) {
-            link.close(); // a client that closes has gone
-        } else if (request != null) {
+        if (request != null) {
             request(link, request);
         } else {
             reject(link, Message.answer(fault, "malformed request, or no room for it"));
@@ -164,6 +170,10 @@
             answer(link, request, Message.answer(up ? 200 : 503, up ? "ready" : "not ready"));
             return;
         }
+        if (link.ended) {
+            link.close(); // a client that closes has gone
+            return;
+        }
         int second = path.indexOf('/', 1);
         Category category = categories.get(second < 0 ? path.substring(1) : path.substring(1, second));
         if (category == null) {
@@ -179,6 +189,7 @@
         } else {
             String id = request.field(Names.ID);
             long ttlUs = Math.min(mostTtlUs, Long.parseLong(request.field(Names.TIMEOUT)) * 1000);
+            ttlUs = life.within(ttlUs, mostTtlUs, clock.getAsLong());
             open.add(id);
             long op = core.arrive(clock.getAsLong(), new Caller(link, request), request, request.field(Names.TENANT),
                     category.name(), ttlUs, "1".equals(request.field(Names.REPEAT)), request.flows());
@@ -248,7 +259,7 @@
 
     /** Who asks once and stays would hold its place for good; told so with the answer, no next request crosses the close. */
     private boolean closes(Link link, Message request) {
-        return life.leaving() || !request.keepsAlive() || crowded() && link.asked < 2;
+        return life.leaving() || !request.keepsAlive() || crowded() && link.asked < 2 || link.overrun();
     }
 
     private void goOn(Link link) {
@@ -323,8 +334,9 @@
         return open.size();
     }
 
+    /** Nothing more can come on any connection, and all answers are written. */
     boolean drained() {
-        return links.stream().allMatch(l -> l.user == null && l.out.size() == 0 && !l.reader.within());
+        return links.stream().allMatch(l -> l.closing && l.out.size() == 0);
     }
 
     /**
@@ -346,7 +358,7 @@
             } else if (rests && link.asked > 0) {
                 link.partialUs = 0;
                 if (nowUs - link.idleUs > (lettingGo ? 0 : crowded() ? RECENT_US : IDLE_US)) {
-                    link.close();
+                    part(link);
                 }
             } else if (link.out.size() > 0 && !link.partial()) {
                 if (stillUs > BRING_US) {
@@ -379,7 +391,7 @@
         boolean late = nowUs - link.partialUs > (within ? BODY_US : silent ? BRING_US : HEAD_US)
                 || within && nowUs - Math.max(link.movedUs, link.partialUs) > BRING_US;
         if (silent && (late || lettingGo && nowUs - link.idleUs > NEW_US)) {
-            link.close();
+            part(link);
         } else if (late) {
             reject(link, Message.answer(408, "the request did not come whole in time"));
         }
--- a/sidecar/src/main/java/dillcross/net/Network.java
+++ b/sidecar/src/main/java/dillcross/net/Network.java
@@ -43,6 +43,7 @@
         /** Whether connections are taken; while they are not, they wait. */
         void accepts(boolean now) throws IOException;
 
+        /** What waits in its queue is taken first, or it would be cut off with what it has sent; called within a turn. */
         void close();
     }
 
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.logging.Logger;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.IOEvent;
@@ -19,6 +20,7 @@
 /** Sockets of this machine, on one selector thread. */
 public final class GrizzlyNetwork implements Network {
     private static final int BACKLOG = 1024;
+    private static final Logger LOG = Logger.getLogger(GrizzlyNetwork.class.getName());
     private TCPNIOTransport transport;
     private Loop loop;
 
@@ -45,8 +47,12 @@
 
     @Override
     public Entrance bind(InetSocketAddress at, Taker taker) throws IOException {
-        TCPNIOBindingHandler binder = TCPNIOBindingHandler.builder(transport).processor(EarFilter.chain(taker)).build();
-        return new ServerSocket(at == null ? binder.bindToInherited() : binder.bind(at, BACKLOG));
+        int[] taken = new int[1];
+        TCPNIOBindingHandler binder = TCPNIOBindingHandler.builder(transport).processor(EarFilter.chain(wire -> {
+            taken[0]++;
+            return taker.accepted(wire);
+        })).build();
+        return new ServerSocket(at == null ? binder.bindToInherited() : binder.bind(at, BACKLOG), taken);
     }
 
     @Override
@@ -56,7 +62,16 @@
         return socket;
     }
 
-    private record ServerSocket(TCPNIOServerConnection server) implements Entrance {
+    private static final class ServerSocket implements Entrance {
+        private final TCPNIOServerConnection server;
+        private final int[] taken; // how many connections
+        private boolean accepting = true;
+
+        ServerSocket(TCPNIOServerConnection server, int[] taken) {
+            this.server = server;
+            this.taken = taken;
+        }
+
         @Override
         public String address() {
             InetSocketAddress own = (InetSocketAddress) server.getLocalAddress();
@@ -70,6 +85,7 @@
 
         @Override
         public void accepts(boolean now) throws IOException {
+            accepting = now;
             if (now) {
                 server.enableIOEvent(IOEvent.SERVER_ACCEPT);
             } else {
@@ -79,6 +95,14 @@
 
         @Override
         public void close() {
+            try {
+                for (int before = -1; accepting && before != taken[0];) { // an accept takes one at the most
+                    before = taken[0];
+                    server.onAccept();
+                }
+            } catch (IOException full) {
+                LOG.warning("connections that wait can't be taken before the end: " + full);
+            }
             server.closeSilently();
         }
     }
--- a/sidecar/src/test/java/dillcross/net/LifeTest.java
+++ b/sidecar/src/test/java/dillcross/net/LifeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -30,4 +31,17 @@
         }
         assertEquals(told, is.toString().trim());
     }
+
+    /** What comes late into a stop has its answer before the process may be killed, the longest TTL and 0.7 s after it began. */
+    @Test
+    void aTtlEndsWithTheWayOut() {
+        Life life = new Life();
+        life.ready(0);
+        assertEquals(3_000_000, life.within(3_000_000, 3_000_000, 500));
+        life.stop(1000);
+        assertEquals(3_000_000, life.within(3_000_000, 3_000_000, 1000));
+        assertEquals(1_600_000, life.within(3_000_000, 3_000_000, 2_001_000));
+        assertEquals(200_000, life.within(200_000, 3_000_000, 2_001_000));
+        assertEquals(1, life.within(3_000_000, 3_000_000, 9_000_000));
+    }
 }
