What waited for a connection is sent after all of the turn is read; late answers meet nobody

Seen: a push that waited for its connection went to an address its endpoint had left, and to a process begun anew (cold) there. The list's answer twice at once hid the next news until something else came. After a failed call a silent one was given up at its wait and 3 s, with up to 2.5 s of pause after it: 7.5 s where 6 s count as told; the same after SIGHUP where 4 s do. A process whose list is pushed was ready by the old list that it was given. Excluded: pooled connections at the turn's end (orders are carried out at once); answers in the socket when a push is given up (read first); static state between settings (none). Cause: Endpoints.connected sent while the turn was gathered, before later news and before timers; Core.sendable looked at whether an endpoint is listed, not at address, start or TTL; Endpoints.take fell back to a connection that had not rested; Discovery.watch wrote on a connection with bytes in its ring; PATIENT_US and the module's pauses went on over a move; Serve left the first call to the module's spread; an order lost in a turn that threw left its push out for good.

--- a/emulator/src/test/java/dillcross/emulator/PlantedTest.java
+++ b/emulator/src/test/java/dillcross/emulator/PlantedTest.java
@@ -28,7 +28,7 @@
             fault("two answers", "sidecar/Core.java", "passedOn && !op.over && op.begun == null", "passedOn && op.begun == null", "ONE_ANSWER", "copies.toml"),
             fault("an answer after the TTL", "sidecar/Core.java", "comes ? Long.MAX_VALUE : nowUs + ttlUs;", "comes ? Long.MAX_VALUE : nowUs + 2 * ttlUs;", "IN_TIME ONE_ANSWER"),
             fault("a repeat into another group", "Logic.java", "p.to.is.zone().equals(s.is.zone())", "true", "NO_EFFECT_TWICE"),
-            fault("a push after the answer", "net/Endpoints.java", "if (core.sendable(exchange.push.op(), exchange.push.push())) {", "if (exchange != null) {", "NOTHING_AFTER DRAIN_KEPT", "anew.toml"),
+            fault("a push after the answer", "net/Endpoints.java", "if (core.sendable(clock.getAsLong(), push.op(), push.push())) {", "if (waited != null) {", "NOTHING_AFTER DRAIN_KEPT", "anew.toml"),
             fault("a push to a drained endpoint", "Logic.java", "            s.listed = up || stays;", "            s.listed = up || stays || s.listed && e.health() == Endpoint.Health.DRAINING;", "DRAIN_KEPT"),
             fault("a cold endpoint overrun", "Logic.java", "return s.flying < 1 + s.coldAnswers && s.sent + 1 <= budget + s.lot;", "return s.sent < budget + 1e9;", "COLD_KEPT", "cold.toml"),
             fault("a leaked connection", "net/Endpoints.java", "links.remove(link); // one that never came up is not reported as closed\n        link.close();",
--- a/sidecar/src/main/java/dillcross/cli/Serve.java
+++ b/sidecar/src/main/java/dillcross/cli/Serve.java
@@ -98,6 +98,9 @@
         if (fellows != null) {
             node.joins(members(clock.getAsLong()));
         }
+        if (!settings.subscribes()) {
+            node.asksFirst();
+        }
         node.open(door(given));
         Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/sidecar/src/main/java/dillcross/net/Discovery.java
+++ b/sidecar/src/main/java/dillcross/net/Discovery.java
@@ -9,7 +9,10 @@
 /** Watches of the list, one at a time, on a connection that is kept. Each is reported once: news, or failed. */
 final class Discovery implements Part {
     private static final long GRACE_US = 1_000_000; // beyond a watch's wait, until the call counts as lost
-    private static final long PATIENT_US = 3_000_000; // ... where the last one failed too: it may be slow, not silent
+    // After a failure or a move the list may be slow and not silent; and what was missed is about to count as told. So that call
+    // waits for hardly any news, and longer for its answer: both together no longer than a usual call.
+    private static final long PATIENT_US = 2_750_000;
+    private static final long AGAIN_MS = 250;
 
     private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
 
@@ -23,6 +26,7 @@
     private Order.Watch asked; // null while no call is out
     private long limitUs;
     private boolean failing;
+    private boolean behind; // no call has been answered since one failed, or since the list moved
 
     Discovery(Network network, Core core, LongSupplier clock, String address, Budget budget) {
         this.core = core;
@@ -42,11 +46,15 @@
             return; // the call that is out brings it
         }
         asked = order;
-        if (link != null && link.isOpen() && !link.ended) {
+        if (link != null && link.isOpen() && !link.ended && !link.stirs() && link.in.size() == 0 && !link.ended) {
             send(link);
         } else {
             limitUs = clock.getAsLong() + connectUs;
+            Link old = link; // what came on it unasked, or behind an answer, must not be read as the next
             link = null;
+            if (old != null) {
+                old.close();
+            }
             Link opening = connector.open(address, up -> connected(order, up));
             link = asked == order && link == null ? opening : link;
         }
@@ -69,6 +77,7 @@
     /** From now on the list is at another address; what is open to the old one is closed, the call on it dropped. */
     void move(String to) {
         address = to;
+        behind = true;
         drop();
     }
 
@@ -83,14 +92,16 @@
     }
 
     private void send(Link on) {
-        limitUs = clock.getAsLong() + waitMs * 1000 + (failing ? PATIENT_US : GRACE_US);
-        String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + waitMs;
+        long forMs = behind ? Math.min(AGAIN_MS, waitMs) : waitMs;
+        limitUs = clock.getAsLong() + forMs * 1000 + (behind ? PATIENT_US : GRACE_US);
+        String target = "/v1/servers?since=" + asked.version() + "&timeout_ms=" + forMs;
         on.write(Message.request("GET", target, Map.of("host", address), Message.NOTHING));
     }
 
     private void fail() {
         if (asked != null) {
             drop();
+            behind = true;
             if (!failing) {
                 failing = true;
                 LOG.warning("the list can't be had; the last one holds");
@@ -110,6 +121,7 @@
             from.close();
         } else {
             asked = null;
+            behind = false;
             if (failing) {
                 failing = false;
                 LOG.info("the list is back");
--- a/sidecar/src/main/java/dillcross/net/Endpoints.java
+++ b/sidecar/src/main/java/dillcross/net/Endpoints.java
@@ -23,6 +23,7 @@
         final long sentUs;
         final long connectByUs;
         Link link; // null until it is opened
+        boolean sent; // its request was handed over
         Message begun; // its answer, once that is being passed on
 
         Exchange(Order.Push push, Pool pool, long sentUs, long connectUs) {
@@ -33,7 +34,7 @@
         }
 
         Reach reach() {
-            return link == null || !link.connected ? Reach.NOT_CONNECTED
+            return !sent ? Reach.NOT_CONNECTED
                     : link.written() ? Reach.WHOLE_WRITTEN : Reach.PARTLY_WRITTEN;
         }
     }
@@ -43,7 +44,9 @@
     /** The connections to one endpoint that are free. Another endpoint at its address, later, has a pool of its own. */
     private record Pool(String address, ArrayDeque<Link> free) { }
 
-    private static final long REST_US = 2_000; // after an answer, for what may come behind it
+    // After an answer, for what may come behind it: a second one would answer the next request, which is another client's. Seen
+    // up to 3.7 ms late. Harms where ops come at shorter intervals than this: an endpoint then holds a connection or two more.
+    private static final long REST_US = 8_000;
 
     private final Core core;
     private final LongSupplier clock;
@@ -53,6 +56,7 @@
     private final int most; // connections
     private final Map<Key, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Exchange> connecting = new ArrayDeque<>(); // in the order of their limits
+    private final ArrayDeque<Exchange> up = new ArrayDeque<>(); // their connections have come up in this turn
     private final Map<String, Pool> pools = new LinkedHashMap<>(); // by endpoint, until it is to be forgotten
     private final Set<Link> links = new LinkedHashSet<>(); // all that are open or opening
     private long sweptUs;
@@ -102,26 +106,21 @@
     }
 
     /**
-     * A connection that is free: the one used last, as it is the least likely to be dead, of those that rested a little,
-     * since what comes late behind an answer would answer the next request; or else the one that rested longest.
+     * A connection that is free: the one used last, as it is the least likely to be dead, of those that have rested; null where
+     * none has.
      */
     private Link take(ArrayDeque<Link> free) {
-        Link taken = null;
-        boolean rested = false;
-        for (Iterator<Link> newest = free.descendingIterator(); newest.hasNext() && !rested;) {
+        for (Iterator<Link> newest = free.descendingIterator(); newest.hasNext();) {
             Link link = newest.next();
-            if (usable(link)) {
-                taken = link;
-                rested = clock.getAsLong() - link.idleUs >= REST_US;
-            } else {
+            if (!usable(link)) {
                 newest.remove();
                 close(link);
+            } else if (clock.getAsLong() - link.idleUs >= REST_US) {
+                newest.remove();
+                return link;
             }
         }
-        if (taken != null) {
-            free.remove(taken);
-        }
-        return taken;
+        return null;
     }
 
     /**
@@ -147,24 +146,41 @@
         return false;
     }
 
-    private void connected(Exchange exchange, Link up) {
-        if (up == null) {
+    private void connected(Exchange exchange, Link opened) {
+        if (opened == null) {
             end(exchange, Ending.Kind.BROKEN, null);
         } else if (connecting.remove(exchange)) {
-            exchange.link = up;
-            if (core.sendable(exchange.push.op(), exchange.push.push())) {
-                send(exchange);
-            } else {
-                end(exchange, Ending.Kind.NOT_SENT, null);
-            }
+            exchange.link = opened;
+            opened.user = exchange; // it may break before it is used
+            up.add(exchange);
         } else { // given up meanwhile
-            close(up);
+            close(opened);
+        }
+    }
+
+    /**
+     * Sends what waited for a connection that is up now, where that still may be; whether there was any. This comes after all
+     * else that the turn has gathered, and after its timers: news of the list, a client that left, an end of the TTL.
+     */
+    boolean sendUp() {
+        boolean any = !up.isEmpty();
+        for (Exchange waited; (waited = up.poll()) != null;) {
+            Order.Push push = waited.push;
+            if (exchanges.get(new Key(push.op(), push.push())) == waited) {
+                if (core.sendable(clock.getAsLong(), push.op(), push.push())) {
+                    send(waited);
+                } else {
+                    end(waited, Ending.Kind.NOT_SENT, null);
+                }
+            }
         }
+        return any;
     }
 
     private void send(Exchange exchange) {
         Link link = exchange.link;
         link.user = exchange;
+        exchange.sent = true;
         Message request = (Message) exchange.push.content();
         Map<String, String> fields = request.passedOn();
         long waitMs = Math.max(1, (exchange.push.untilUs() - clock.getAsLong()) / 1000);
@@ -195,6 +211,8 @@
         if (exchange != null) {
             end(exchange, Ending.Kind.GIVEN_UP, null);
             dropOlder(exchange);
+        } else { // its turn broke before it was known here: the core must not wait for it for good
+            core.ended(clock.getAsLong(), order.op(), order.push(), new Ending(Ending.Kind.GIVEN_UP, Reach.WHOLE_WRITTEN, null));
         }
     }
 
@@ -249,8 +267,8 @@
     @Override
     public void message(Link link, Message answer, int fault) {
         Exchange exchange = (Exchange) link.user;
-        if (exchange == null || answer == null) {
-            close(link); // an answer that nobody asked for, or one that can't be read
+        if (exchange == null || !exchange.sent || answer == null) {
+            close(link); // an answer that nobody asked for yet, or one that can't be read
             return;
         }
         if (!answer.flows() || kind(answer) != Ending.Kind.ACKED) {
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -53,7 +53,7 @@
     private int faults;
     private long now; // the clock when this turn began to gather
     private boolean accepting = true;
-    private boolean swept; // at the end of accepting
+    private boolean listFirst; // before it is warm
 
     /** {@code calls} to itself it makes before it is ready, over its own network and through every part. */
     public Node(Network network, int calls, Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
@@ -103,6 +103,15 @@
         made.await();
     }
 
+    /**
+     * Has the list asked for at once, and is not warm before it was told, or can't be: where lists are pushed what the agent has
+     * counts as told from this process's first moment on, and what it was started with may be old. Before {@link #open}.
+     */
+    public void asksFirst() {
+        listFirst = true;
+        core.listMoved(now);
+    }
+
     /** Takes part among others, from the first turn on; before {@link #open}. */
     public void joins(Members own) {
         members = own;
@@ -124,15 +133,38 @@
 
     /** Warms up and serves at that address, or where it is null on the listening socket that this process inherited. */
     public void start(InetSocketAddress listen) throws IOException, InterruptedException {
-        begin(listen);
+        opens(() -> begin(listen));
         warm.await();
         if (inherited) { // only now: what it accepts it has to serve at once
-            entrance = network.bind(null, listener);
-            listener.serve(entrance);
+            opens(() -> {
+                entrance = network.bind(null, listener);
+                listener.serve(entrance);
+            });
         }
         between(this::ready);
     }
 
+    private interface Opening {
+        void open() throws IOException;
+    }
+
+    /** Between two turns, and not at all once it is to stop: what is accepted then nobody would answer. */
+    private void opens(Opening opening) throws IOException, InterruptedException {
+        IOException[] fault = new IOException[1];
+        between(() -> {
+            try {
+                if (!life.stopping()) {
+                    opening.open();
+                }
+            } catch (IOException e) {
+                fault[0] = e;
+            }
+        });
+        if (fault[0] != null) {
+            throw fault[0];
+        }
+    }
+
     /** Listens and has itself warmed up by the turns; {@link #ready} is called once it is {@link #warm}. */
     public void begin(InetSocketAddress listen) throws IOException {
         inherited = listen == null;
@@ -156,7 +188,9 @@
     /** Says yes to those who ask whether it serves; to be called between two turns. */
     public void ready() {
         life.ready(now);
-        LOG.info(() -> "ready on " + entrance.address() + " after " + (now - startedUs) / 1000 + " ms");
+        if (life.able()) { // it was not told to stop meanwhile
+            LOG.info(() -> "ready on " + entrance.address() + " after " + (now - startedUs) / 1000 + " ms");
+        }
     }
 
     /**
@@ -166,7 +200,7 @@
     private void rehearse() {
         boolean enough = rehearsed >= rehearsals || now - startedUs > MOST_REHEARSAL_US;
         enough |= self == null;
-        if (!enough && endpoints.busy()) {
+        if (!enough && endpoints.busy() || listFirst && !core.told() && now - startedUs <= MOST_REHEARSAL_US) {
             return;
         }
         for (int i = 0; i < 4 && !enough; i++) {
@@ -188,7 +222,10 @@
     /** Stops accepting when new connections have ceased to come, answers what it has taken, then is done. */
     public void stop() throws InterruptedException {
         askStop();
-        done.await(mostTtlUs + 2 * ACCEPT_US, TimeUnit.MICROSECONDS); // the loop may not have started
+        boolean stopped = false; // the loop may not have started; new settings may bring a longer TTL meanwhile
+        for (long waitedUs = 0; !stopped && waitedUs < mostTtlUs + 2 * ACCEPT_US; waitedUs += ACCEPT_US) {
+            stopped = done.await(ACCEPT_US, TimeUnit.MICROSECONDS);
+        }
     }
 
     /** Has the next turn begin to stop; it is {@link #done} some turns later. */
@@ -249,13 +286,15 @@
             if (members != null) {
                 members.turn(now);
             }
-            for (Order order; (order = core.next(now)) != null;) {
-                carryOut(order);
-            }
+            do {
+                for (Order order; (order = core.next(now)) != null;) {
+                    carryOut(order);
+                }
+            } while (endpoints.sendUp());
             if (starting && warm.getCount() > 0) {
                 rehearse();
             }
-            if (now - sweptUs >= SWEEP_US) {
+            if (now - sweptUs >= SWEEP_US || life.stopping() && life.lettingGo(now)) {
                 sweptUs = now;
                 listener.sweep(now);
                 door.sweep(now);
@@ -313,10 +352,6 @@
             listener.stopAccepting(inherited);
         }
         if (forUs > ACCEPT_US) {
-            if (!swept) {
-                swept = true;
-                listener.sweep(now); // nothing idle is kept from here on
-            }
             boolean quiet = forUs > ACCEPT_US + QUIET_US; // a request may be on its way to us still
             if (quiet && core.open() == 0 && listener.drained() || forUs > mostTtlUs + ACCEPT_US + QUIET_US) {
                 done.countDown();
--- a/sidecar/src/main/java/dillcross/sidecar/Core.java
+++ b/sidecar/src/main/java/dillcross/sidecar/Core.java
@@ -25,13 +25,13 @@
     private static final class Push {
         long sentUs; // or, where it went out before, when its op had come whole
         long begunUs; // when its answer began to be passed on; 0 while it has not
-        final String endpoint;
+        final Listed to; // as the list had it then
         boolean late; // given up because its time was over
         boolean ended;
 
-        Push(long sentUs, String endpoint) {
+        Push(long sentUs, Listed to) {
             this.sentUs = sentUs;
-            this.endpoint = endpoint;
+            this.to = to;
         }
     }
 
@@ -73,6 +73,7 @@
     private long lastOp;
     private long version;
     private long askedUs;
+    private boolean told;
 
     public Core(Logic logic) {
         this.logic = logic;
@@ -93,8 +94,7 @@
         for (Listed entry : entries) {
             Endpoint now = entry.endpoint();
             Listed before = now.health() == Endpoint.Health.UP ? listed.put(now.id(), entry) : null;
-            if (before != null && (!before.address().equals(entry.address())
-                    || before.endpoint().startedUs() != now.startedUs())) {
+            if (before != null && !before.isStill(entry)) {
                 ready.add(new Order.Forget(now.id()));
             }
             endpoints.add(now);
@@ -103,6 +103,7 @@
         List<String> gone = listed.keySet().stream().filter(id -> !logic.knows(id)).sorted().toList();
         gone.forEach(id -> ready.add(new Order.Forget(id))); // or each deploy would leave its old endpoints here
         listed.keySet().removeAll(gone);
+        told |= watched;
         if (watched) {
             timer(entries.isEmpty() ? Math.max(nowUs, askedUs + QUICK_WATCH_US) : nowUs, What.WATCH, 0, 0);
         }
@@ -111,11 +112,18 @@
     /** The list is told from elsewhere now: all of it is asked for at once, as its numbers there may be others. */
     public void listMoved(long nowUs) {
         version = 0;
+        logic.list(nowUs, false, List.of()); // what failed elsewhere is no reason to wait long here
         timer(nowUs, What.WATCH, 0, 0);
     }
 
+    /** Whether it has been asked for the list, and that was answered or failed. */
+    public boolean told() {
+        return told;
+    }
+
     /** The list can't be had, or a watch of it broke. */
     public void listFailed(long nowUs) {
+        told = true;
         logic.listFailed(nowUs);
     }
 
@@ -217,13 +225,14 @@
     }
 
     /**
-     * Whether a push that had to wait for its connection may still be sent: its op may have been answered meanwhile, its
-     * endpoint may have been told to drain. What belongs to no op is not the core's to hold back.
+     * Whether a push that had to wait for its connection may still be sent: its op may have been answered meanwhile or its
+     * time be over, its endpoint may drain, be at another address, or be another process there, which is cold. What belongs to
+     * no op is not the core's to hold back.
      */
-    public boolean sendable(long id, int number) {
+    public boolean sendable(long nowUs, long id, int number) {
         Op op = ops.get(id);
-        Listed to = op == null ? null : listed.get(op.pushes.get(number).endpoint);
-        return op == null || !op.over && to != null;
+        Listed to = op == null ? null : op.pushes.get(number).to;
+        return op == null || !op.over && nowUs < op.endUs && to.isStill(listed.get(to.endpoint().id()));
     }
 
     /** When the next timer is due; a network with nothing to tell must call {@link #next} by then. */
@@ -318,13 +327,13 @@
                 boolean limited = !op.coming() && decision.us() > 0 && decision.us() < op.endUs;
                 long untilUs = limited ? decision.us() : op.coming() ? nowUs + op.ttlUs : op.endUs;
                 int number = op.pushes.size();
-                op.pushes.add(new Push(nowUs, decision.endpoint()));
+                Listed to = listed.get(decision.endpoint());
+                op.pushes.add(new Push(nowUs, to));
                 op.out++;
                 if (limited) {
                     timer(untilUs, What.PUSH_ENDS, decision.op(), number);
                 }
-                String address = listed.get(decision.endpoint()).address();
-                ready.add(new Order.Push(decision.op(), number, decision.endpoint(), address, op.content, untilUs));
+                ready.add(new Order.Push(decision.op(), number, decision.endpoint(), to.address(), op.content, untilUs));
             }
             case NACK -> {
                 ready.add(new Order.Nack(op.client, decision.us()));
--- a/sidecar/src/test/java/dillcross/sidecar/CoreTest.java
+++ b/sidecar/src/test/java/dillcross/sidecar/CoreTest.java
@@ -224,13 +224,23 @@
     void whatWaitedForItsConnectionIsLookedAtAgain() {
         core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
         Order.Push push = push("read");
-        assertTrue(core.sendable(push.op(), push.push()));
+        assertTrue(core.sendable(now, push.op(), push.push()));
         core.list(now, 2, false, List.of(listed("a", Health.DRAINING, "h:1")), false);
-        assertFalse(core.sendable(push.op(), push.push()), "it drains");
+        assertFalse(core.sendable(now, push.op(), push.push()), "it drains");
         core.list(now, 3, false, List.of(listed("a", Health.UP, "h:1")), false);
         restless = true;
         core.left(now, push.op());
-        assertFalse(core.sendable(push.op(), push.push()), "its op is over");
+        assertFalse(core.sendable(now, push.op(), push.push()), "its op is over");
+    }
+
+    /** It was to go to that process at that place, and within the op's time. */
+    @ParameterizedTest
+    @CsvSource({"h:1,0,0,true", "h:2,0,0,false", "h:1,7,0,false", "h:1,0," + TTL_US + ",false"})
+    void whatWaitedGoesToTheSameProcessInTimeOnly(String address, long startedUs, long laterUs, boolean sendable) {
+        core.list(now, 1, true, List.of(listed("a", Health.UP, "h:1")), false);
+        Order.Push push = push("read");
+        core.list(now, 2, false, List.of(new Listed(new Endpoint("a", Health.UP, startedUs, 1, "east", 1), address)), false);
+        assertEquals(sendable, core.sendable(now + laterUs, push.op(), push.push()));
     }
 
     @ParameterizedTest
