Clients that leave while their op waits for a place or a repeat: forced on sockets, and held

Seen: no fault; the module drops what waits as soon as the client is gone (Logic.settle). CrossingIT.whoLeavesWhileItWaitsForAPlaceIsNotSentOn and whoLeavesWhileItsRepeatWaitsIsNotSentOn force it with closes, resets and half-closes, with cancel on and off.

--- a/sidecar/src/test/java/dillcross/cli/CrossingIT.java
+++ b/sidecar/src/test/java/dillcross/cli/CrossingIT.java
@@ -189,6 +189,65 @@
         assertEquals(List.of("/read/after"), late.got);
     }
 
+    /** Each client's answer, once it has one. */
+    private java.util.Map<Integer, String> answersOf(List<Socket> clients) {
+        java.util.Map<Integer, String> answers = new java.util.concurrent.ConcurrentHashMap<>();
+        for (int i = 0; i < clients.size(); i++) {
+            int mine = i;
+            StandIn.start(() -> {
+                String answer = message(clients.get(mine).getInputStream());
+                answers.put(mine, status(answer));
+            });
+        }
+        return answers;
+    }
+
+    /** As much is in flight as may be, and one op waits for a place: its client leaves, then there is room. */
+    @ParameterizedTest
+    @CsvSource({"closes,true", "closes,false", "resets,true", "half-closes,true"})
+    void whoLeavesWhileItWaitsForAPlaceIsNotSentOn(String how, boolean cancel) throws Exception {
+        servingPatiently(entry("a", "in_service", a.address()), "\"cancel\":true", "\"cancel\":" + cancel);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            clients.add(connect());
+        }
+        var answers = answersOf(clients);
+        for (int i = 0; i < clients.size(); i++) {
+            clients.get(i).getOutputStream().write(op("/read/" + i + "then", 90_000).getBytes(StandardCharsets.ISO_8859_1));
+        }
+        await(() -> a.requests.size() + answers.size() == clients.size() - 1);
+        int waits = 0;
+        while (answers.containsKey(waits) || a.got.containsKey("/read/" + waits + "then")) {
+            waits++;
+        }
+        long open = connections(true, port, ESTABLISHED);
+        leave(clients.get(waits), how);
+        await(() -> connections(true, port, ESTABLISHED) == open - 1 && connections(true, port, CLOSE_WAIT) == 0);
+        a.go.countDown();
+        assertEquals("200", status(ask(connect(), op("/read/after", 90_000))));
+        assertFalse(a.got.containsKey("/read/" + waits + "then"), "sent on: " + a.got);
+    }
+
+    /** An endpoint turns the op away, the next one's connection comes up late, and the client leaves meanwhile. */
+    @ParameterizedTest
+    @CsvSource({"closes,true", "closes,false", "resets,false", "half-closes,true"})
+    void whoLeavesWhileItsRepeatWaitsIsNotSentOn(String how, boolean cancel) throws Exception {
+        Late late = new Late();
+        servingPatiently(entry("a", "in_service", a.address()), "\"cancel\":true", "\"cancel\":" + cancel);
+        Socket client = connect();
+        begin(client, op("/read/fullthen", 90_000), "/read/fullthen");
+        discovery.tell(entry("b", "in_service", late.address()));
+        a.go.countDown();
+        late.awaitAsked(); // the repeat
+        leave(client, how);
+        await(() -> connections(true, port, ESTABLISHED) + connections(true, port, CLOSE_WAIT) == 0);
+        late.room();
+        late.serves();
+        discovery.tell(entry("a", "terminating", a.address())); // so that what comes next goes where the repeat would
+        assertEquals("200", status(ask(connect(), op("/read/after", 90_000))));
+        assertEquals(List.of("/read/after"), late.got);
+    }
+
     /** A push waits for its connection while news of its endpoint comes: it goes where the list says by then, or not at all. */
     @ParameterizedTest
     @ValueSource(strings = {"terminating", "terminated", "moved", "began anew"})
--- a/sidecar/src/test/java/dillcross/cli/Served.java
+++ b/sidecar/src/test/java/dillcross/cli/Served.java
@@ -72,6 +72,7 @@
         final Map<String, Integer> got = new ConcurrentHashMap<>(); // requests by path
         final List<String> requests = java.util.Collections.synchronizedList(new ArrayList<>());
         final AtomicInteger accepted = new AtomicInteger();
+        final CountDownLatch go = new CountDownLatch(1); // what is asked to wait for it does
         final List<String> broken = java.util.Collections.synchronizedList(new ArrayList<>()); // answers to the next watches
         String list = ""; // what changed in the version below
         int version = 1;
@@ -136,7 +137,7 @@
                     String what = path.substring(path.lastIndexOf('/') + 1);
                     String reply = path.startsWith("/v1/") ? watch(path) : switch (what) {
                         case "500", "400" -> answer(Integer.parseInt(what), "", "");
-                        case "full" -> answer(503, "Not-Started: 1\r\n", "");
+                        case "full", "fullthen" -> answer(503, "Not-Started: 1\r\n", "");
                         case "plain503" -> answer(503, "", "");
                         case "cut" -> answer(200, "", BODY).substring(0, 50);
                         case "garbled" -> "hello\r\n\r\n";
@@ -152,6 +153,9 @@
                                 + "\r\n" + BODY + "\r\n0\r\n\r\n";
                         default -> answer(200, "Content-Type: text/odd\r\nServer-Load: TEXT queue=1\r\n", BODY);
                     };
+                    if (what.endsWith("then")) {
+                        go.await();
+                    }
                     if (reply.startsWith("later")) {
                         Thread.sleep(400);
                         reply = reply.substring(5);
