News of the list in six seconds, whatever failed before; and looked for before each push

So the time line was gone through and each place forced, with a clock and a wire that tests move.

Found, each with a test that failed on the text before: - Discovery's wait and patience and the module's pause knew only their own part: a silent watch and one lost call came to 6.2 to 7.1 s (DiscoveryTest, all six fleets), and pauses grew to 2.5 s. From 100 sidecars on the wait grew as well (20 s at 1,000). Now Discovery owns one deadline; all waits are fractions of it. - A call was given up after 3 s, the very time after which lists answer who waited in their queue; its place was lost with it. Now it is left open beside the next call. - At SIGHUP the old watch was dropped, so a sidecar was deaf while a whole fleet asked the new address. Now it goes on until that has answered. - Core.list applied an older partial answer before it was found to be older. - A process whose list is pushed was ready 1 s after its start, or once a first call had failed, with the old list. Now it waits for an answer, 3 s from its start at the most. - A push on a free connection left as soon as it was decided; one on a new connection was looked at by what the turn had gathered. Now all pushes go last in the turn, and the list's socket and the client's are read once more before each first byte. - A client's end behind a large body was not seen while its push waited (found by the emulator's new term).

GivenTest's case of the watch's wait by fleet size is replaced by DiscoveryTest, which holds what it was for: news in time at 5, 100 and 1,000 sidecars. EndpointsTest's wire moved to Lines, for both.

--- a/sidecar/src/main/java/dillcross/Logic.java
+++ b/sidecar/src/main/java/dillcross/Logic.java
@@ -376,7 +376,7 @@
     public void listFailed(long nowUs) {
         now = nowUs;
         // All must not call an unreachable list at once: waits grow, jittered, within the time to be deaf.
-        long wait = Math.min(listRule.askWithinUs() / 3, 500_000L << Math.min(listFailures++, 3));
+        long wait = Math.min(listRule.pauseUs(), 500_000L << Math.min(listFailures++, 3));
         listenUs = now + (long) (wait * (0.5 + random.nextDouble()));
     }
 
--- a/sidecar/src/main/java/dillcross/cli/Serve.java
+++ b/sidecar/src/main/java/dillcross/cli/Serve.java
@@ -57,12 +57,11 @@
         door(read);
         known(read);
         Given settings = read.below("settings");
-        settings.instance(read.seed(), ASKS);
+        settings.instance(read.seed(), ASKS, Node.MOST_PAUSE_US);
         settings.subscribes();
         settings.mostTtlUs();
         settings.connectUs();
         settings.keepUs();
-        settings.watchMs();
         read.descriptors();
         read.mostBody();
         read.room();
@@ -87,13 +86,13 @@
         onHangUp(reloads::release); // before all else: unhandled, it would end the program
         Given settings = given.below("settings");
         LongSupplier clock = clock(shiftUs);
-        Core core = new Core(settings.instance(given.seed(), ASKS));
+        Core core = new Core(settings.instance(given.seed(), ASKS, Node.MOST_PAUSE_US));
         Roster known = known(given);
         if (known != null) {
             core.list(clock.getAsLong(), known.version(), true, known.entries(), false);
         }
         Node node = new Node(new GrizzlyNetwork(), REHEARSALS, core, clock, settings.categories(), settings.mostTtlUs(), given.needed("discovery"),
-                settings.connectUs(), settings.keepUs(), settings.watchMs(), Math.min(given.descriptors(), allowed()),
+                settings.connectUs(), settings.keepUs(), Math.min(given.descriptors(), allowed()),
                 given.mostBody(), Math.min(Runtime.getRuntime().maxMemory() / 4, given.room()));
         if (fellows != null) {
             node.joins(members(clock.getAsLong()));
@@ -102,7 +101,7 @@
             node.asksFirst();
         }
         node.open(door(given));
-        Rehearsal.run(settings.instance(0, ASKS), settings.categories());
+        Rehearsal.run(settings.instance(0, ASKS, Node.MOST_PAUSE_US), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop();
@@ -140,8 +139,8 @@
                 }
                 if (changed) {
                     Given settings = next.below("settings");
-                    node.settings((logic, nowUs) -> settings.tell(logic, nowUs, ASKS), settings.categories(),
-                            settings.mostTtlUs(), settings.connectUs(), settings.keepUs(), settings.watchMs());
+                    node.settings((logic, nowUs) -> settings.tell(logic, nowUs, ASKS, Node.MOST_PAUSE_US), settings.categories(),
+                            settings.mostTtlUs(), settings.connectUs(), settings.keepUs());
                 }
             });
             String later = List.of("name", "listen", "admin_addr", "limits").stream()
--- a/sidecar/src/main/java/dillcross/config/Given.java
+++ b/sidecar/src/main/java/dillcross/config/Given.java
@@ -28,9 +28,6 @@
  * read, checked and given defaults; unknown keys are skipped, absent ones get a careful default.
  */
 public final class Given {
-    private static final long LEAST_WATCH_MS = 2_000;
-    private static final long MOST_WATCH_MS = 20_000;
-    private static final long WATCHES_PER_S = 50; // by all sidecars together
     private static final int OWN_MB = 48; // resident with nothing to carry, and some garbage
     private static final String ENVIRONMENT = "NODE_"; // begins the names of its variables
     private static final List<String> MUST_LIMIT = List.of("max_pushes", "may_duplicate", "cancel");
@@ -138,16 +135,16 @@
                 && below(path).values.equals(other.below(path).values);
     }
 
-    /** A module with these settings; {@code asks} where the list tells nothing unasked. */
-    public Logic instance(long seed, boolean asks) {
+    /** A module with these settings; {@code asks} where the list tells nothing unasked, after a failure again within that time. */
+    public Logic instance(long seed, boolean asks, long mostPauseUs) {
         return new Logic(seed, zone(), me(), sidecars(), categories(), tenants(), cold(), pushes(), byWork(),
-                list(asks), mostRetryAfterUs(), crossingPrice(), goal());
+                list(asks, mostPauseUs), mostRetryAfterUs(), crossingPrice(), goal());
     }
 
     /** Has a module that runs take these settings on; {@code asks} as above. */
-    public void tell(Logic logic, long nowUs, boolean asks) {
+    public void tell(Logic logic, long nowUs, boolean asks, long mostPauseUs) {
         logic.settings(nowUs, zone(), me(), sidecars(), categories(), tenants(), cold(), pushes(), byWork(),
-                list(asks), mostRetryAfterUs(), crossingPrice(), goal());
+                list(asks, mostPauseUs), mostRetryAfterUs(), crossingPrice(), goal());
     }
 
     /** Whether the list has to be asked for news, as far as the settings say. */
@@ -195,8 +192,9 @@
         return word("benefit_basis", "request", "work").equals("work");
     }
 
-    private ListRule list(boolean asks) {
-        return new ListRule(asks, micros("rules.ask_within_ms", 5000), flag("rules.dropped_stay_open"), liveWeights());
+    private ListRule list(boolean asks, long mostPauseUs) {
+        long withinUs = micros("rules.ask_within_ms", 5000);
+        return new ListRule(asks, withinUs, Math.min(withinUs / 3, mostPauseUs * 2 / 3), flag("rules.dropped_stay_open"), liveWeights());
     }
 
     private Goal goal() {
@@ -258,11 +256,6 @@
         return Math.max(1000, micros("limits.keepalive_ms", 15_000));
     }
 
-    /** How long a watch of the list may wait: short, as one can fall silent, but a large fleet asks less often each. */
-    public long watchMs() {
-        return Math.min(MOST_WATCH_MS, Math.max(LEAST_WATCH_MS, (long) number("balancers", 1) * 1000 / WATCHES_PER_S));
-    }
-
     public int descriptors() {
         double most = number("limits.sockets", 1024);
         if (most < 128) {
--- a/sidecar/src/main/java/dillcross/net/Endpoints.java
+++ b/sidecar/src/main/java/dillcross/net/Endpoints.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** Pushes on connections to endpoints. Nothing here is sent twice: each push is written once, and reported once. */
@@ -50,18 +51,20 @@
 
     private final Core core;
     private final LongSupplier clock;
+    private final Consumer<Object> latest; // has what came of the list and of that client taken in
     private final Connector connector;
     private long connectUs;
     private long idleUs;
     private final int most; // connections
     private final Map<Key, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Exchange> connecting = new ArrayDeque<>(); // in the order of their limits
-    private final ArrayDeque<Exchange> up = new ArrayDeque<>(); // their connections have come up in this turn
+    private final ArrayDeque<Exchange> up = new ArrayDeque<>(); // their connections are up, or came up in this turn
     private final Map<String, Pool> pools = new LinkedHashMap<>(); // by endpoint, until it is to be forgotten
     private final Set<Link> links = new LinkedHashSet<>(); // all that are open or opening
     private long sweptUs;
 
-    Endpoints(Network network, Core core, LongSupplier clock, int most, long mostBody, Budget budget) {
+    Endpoints(Network network, Core core, LongSupplier clock, int most, long mostBody, Budget budget, Consumer<Object> latest) {
+        this.latest = latest;
         this.core = core;
         this.clock = clock;
         this.most = most;
@@ -85,7 +88,8 @@
         exchanges.put(new Key(push.op(), push.push()), exchange);
         exchange.link = take(pool.free());
         if (exchange.link != null) {
-            send(exchange);
+            exchange.link.user = exchange; // it may break before it is used
+            up.add(exchange);
             return;
         }
         if (links.size() >= most && !closeOneIdle()) {
@@ -151,7 +155,7 @@
             end(exchange, Ending.Kind.BROKEN, null);
         } else if (connecting.remove(exchange)) {
             exchange.link = opened;
-            opened.user = exchange; // it may break before it is used
+            opened.user = exchange;
             up.add(exchange);
         } else { // given up meanwhile
             close(opened);
@@ -159,13 +163,17 @@
     }
 
     /**
-     * Sends what waited for a connection that is up now, where that still may be; whether there was any. This comes after all
-     * else that the turn has gathered, and after its timers: news of the list, a client that left, an end of the TTL.
+     * Sends what has a connection that is up, where that still may be; whether there was any. This comes after all else that the
+     * turn has gathered, and after its timers; and what has come since is looked for once more, as a turn of a starved process
+     * takes long: news of the list, a client that left, an end of the TTL.
      */
     boolean sendUp() {
         boolean any = !up.isEmpty();
         for (Exchange waited; (waited = up.poll()) != null;) {
             Order.Push push = waited.push;
+            if (exchanges.get(new Key(push.op(), push.push())) == waited) {
+                latest.accept(push.client());
+            }
             if (exchanges.get(new Key(push.op(), push.push())) == waited) {
                 if (core.sendable(clock.getAsLong(), push.op(), push.push())) {
                     send(waited);
--- a/sidecar/src/main/java/dillcross/net/Link.java
+++ b/sidecar/src/main/java/dillcross/net/Link.java
@@ -94,7 +94,8 @@
      * all that it sent before is read.
      */
     private int window() {
-        return reader.flows() ? Stream.WINDOW : server && user != null && budget.ample() ? MOST_BEHIND : usual;
+        boolean moves = reader.flows() && (!server || source != null); // one that waits for its push is not moved yet
+        return !moves && server && (user != null || reader.flows()) && budget.ample() ? MOST_BEHIND : reader.flows() ? Stream.WINDOW : usual;
     }
 
     boolean full() {
--- a/sidecar/src/main/java/dillcross/net/Listener.java
+++ b/sidecar/src/main/java/dillcross/net/Listener.java
@@ -49,6 +49,14 @@
         this.budget = budget;
     }
 
+    /** Takes in what has come from who waits for an answer, which may be its end. */
+    void look(Caller caller) {
+        Link link = caller.link();
+        if (link.isOpen() && link.source == null) { // of a body that is moved the end is seen as it is passed on
+            link.readable();
+        }
+    }
+
     /** What may be asked for from now on; requests that are open go on. */
     void serves(Map<String, Category> served, long longestTtlUs) {
         categories = served;
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -20,7 +20,10 @@
 /** The running sidecar: the parts that the network's one thread works for, and their turns. */
 public final class Node implements Network.Turns {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
+    /** The longest that the module may wait before the list is asked for once more. */
+    public static final long MOST_PAUSE_US = Discovery.MOST_PAUSE_US;
     private static final long MOST_REHEARSAL_US = 1_000_000;
+    private static final long FIRST_LIST_US = 3_000_000; // from the start, that a process may wait for its first list
     private static final int MOST_TRACES = 20;
     private static final int SPARE_DESCRIPTORS = 48; // files, selector, listening socket, list, and what closes
     private static final long ACCEPT_US = 500_000; // after the order to stop, new connections still come
@@ -57,7 +60,7 @@
 
     /** {@code calls} to itself it makes before it is ready, over its own network and through every part. */
     public Node(Network network, int calls, Core core, LongSupplier clock, Iterable<Category> categories, long mostTtlUs, String discoveryAddress,
-            long connectUs, long keepUs, long watchMs, int descriptors, long mostBody, long room) {
+            long connectUs, long keepUs, int descriptors, long mostBody, long room) {
         this.network = network;
         rehearsals = calls;
         this.core = core;
@@ -68,25 +71,33 @@
         // Clients need more: some ask once and stay, some say nothing; an endpoint's connection serves one op after another.
         int third = (descriptors - SPARE_DESCRIPTORS) / 3;
         listener = new Listener(core, life, this::now, 2 * third, mostBody, budget);
-        endpoints = new Endpoints(network, core, this::now, third, mostBody, budget);
         discovery = new Discovery(network, core, this::now, discoveryAddress, budget);
-        limits(categories, mostTtlUs, connectUs, keepUs, watchMs);
+        endpoints = new Endpoints(network, core, this::now, third, mostBody, budget, this::latest);
+        limits(categories, mostTtlUs, connectUs, keepUs);
     }
 
-    private void limits(Iterable<Category> categories, long ttlUs, long connectUs, long keepUs, long watchMs) {
+    /** Takes in what has come of the list and of a client since this turn gathered: what is sent next must not miss it. */
+    private void latest(Object client) {
+        discovery.look();
+        if (client != null) {
+            listener.look((Listener.Caller) client);
+        }
+    }
+
+    private void limits(Iterable<Category> categories, long ttlUs, long connectUs, long keepUs) {
         Map<String, Category> byName = new LinkedHashMap<>();
         categories.forEach(c -> byName.put(c.name(), c));
         mostTtlUs = Math.max(mostTtlUs, ttlUs);
         listener.serves(byName, ttlUs);
         endpoints.limits(connectUs, keepUs - keepUs / 10); // a tenth early: the endpoint's clock began before ours
-        discovery.limits(Math.max(connectUs, 1_000_000), watchMs);
+        discovery.limits(Math.max(connectUs, 1_000_000));
     }
 
     /** Takes new settings on; what is open, kept or learned stays. To be called {@link #between} two turns. */
     public void settings(ObjLongConsumer<Logic> teller, Iterable<Category> categories, long ttlUs, long connectUs,
-            long keepUs, long watchMs) {
+            long keepUs) {
         core.settings(now, teller);
-        limits(categories, ttlUs, connectUs, keepUs, watchMs);
+        limits(categories, ttlUs, connectUs, keepUs);
     }
 
     /** Has the selector thread make a change, in one go between two turns, and returns then. */
@@ -104,7 +115,7 @@
     }
 
     /**
-     * Has the list asked for at once, and is not warm before it was told, or can't be: where lists are pushed what the agent has
+     * Has the list asked for at once, and is not warm before it was told, for a while: where lists are pushed what the agent has
      * counts as told from this process's first moment on, and what it was started with may be old. Before {@link #open}.
      */
     public void asksFirst() {
@@ -200,12 +211,12 @@
     private void rehearse() {
         boolean enough = rehearsed >= rehearsals || now - startedUs > MOST_REHEARSAL_US;
         enough |= self == null;
-        if (!enough && endpoints.busy() || listFirst && !core.told() && now - startedUs <= MOST_REHEARSAL_US) {
+        if (!enough && endpoints.busy() || listFirst && !core.heard() && now - startedUs <= FIRST_LIST_US) {
             return;
         }
         for (int i = 0; i < 4 && !enough; i++) {
             Message request = Message.request("GET", inherited ? Names.READY_PATH : Names.HEALTH_PATH, Map.of("host", self), Message.NOTHING);
-            endpoints.push(new Order.Push(-1 - rehearsed++, 0, self, self, request, now + MOST_REHEARSAL_US));
+            endpoints.push(new Order.Push(-1 - rehearsed++, 0, null, self, self, request, now + MOST_REHEARSAL_US));
         }
         if (enough) {
             endpoints.forget(self);
@@ -286,14 +297,14 @@
             if (members != null) {
                 members.turn(now);
             }
+            if (starting && warm.getCount() > 0) {
+                rehearse();
+            }
             do {
                 for (Order order; (order = core.next(now)) != null;) {
                     carryOut(order);
                 }
             } while (endpoints.sendUp());
-            if (starting && warm.getCount() > 0) {
-                rehearse();
-            }
             if (now - sweptUs >= SWEEP_US || life.stopping() && life.lettingGo(now)) {
                 sweptUs = now;
                 listener.sweep(now);
--- a/sidecar/src/main/java/dillcross/sidecar/Core.java
+++ b/sidecar/src/main/java/dillcross/sidecar/Core.java
@@ -73,7 +73,7 @@
     private long lastOp;
     private long version;
     private long askedUs;
-    private boolean told;
+    private boolean heard;
 
     public Core(Logic logic) {
         this.logic = logic;
@@ -87,9 +87,22 @@
     }
 
     /** News of the list; {@code watched} where a watch brought it, which then goes on. */
-    public void list(long nowUs, long newVersion, boolean whole, List<Listed> entries, boolean watched) {
-        boolean older = !whole && newVersion < version;
-        version = older ? 0 : newVersion; // its numbering began anew: ask for the whole list
+    public void list(long nowUs, long newVersion, boolean whole, List<Listed> told, boolean watched) {
+        boolean older = !whole && newVersion < version; // its numbering began anew, or it comes from before what is held:
+        version = older ? 0 : newVersion; // ask for the whole list, as what it says may undo a drain
+        take(nowUs, whole, older ? List.of() : told);
+        heard |= watched;
+        if (watched) {
+            timer(told.isEmpty() ? Math.max(nowUs, askedUs + QUICK_WATCH_US) : nowUs, What.WATCH, 0, 0);
+        }
+    }
+
+    /** News from where the list was before it moved, and has not answered yet; the numbers there say nothing here. */
+    public void formerList(long nowUs, boolean whole, List<Listed> entries) {
+        take(nowUs, whole, entries);
+    }
+
+    private void take(long nowUs, boolean whole, List<Listed> entries) {
         List<Endpoint> endpoints = new ArrayList<>(entries.size());
         for (Listed entry : entries) {
             Endpoint now = entry.endpoint();
@@ -103,10 +116,6 @@
         List<String> gone = listed.keySet().stream().filter(id -> !logic.knows(id)).sorted().toList();
         gone.forEach(id -> ready.add(new Order.Forget(id))); // or each deploy would leave its old endpoints here
         listed.keySet().removeAll(gone);
-        told |= watched;
-        if (watched) {
-            timer(entries.isEmpty() ? Math.max(nowUs, askedUs + QUICK_WATCH_US) : nowUs, What.WATCH, 0, 0);
-        }
     }
 
     /** The list is told from elsewhere now: all of it is asked for at once, as its numbers there may be others. */
@@ -116,14 +125,13 @@
         timer(nowUs, What.WATCH, 0, 0);
     }
 
-    /** Whether it has been asked for the list, and that was answered or failed. */
-    public boolean told() {
-        return told;
+    /** Whether a watch has brought the list. */
+    public boolean heard() {
+        return heard;
     }
 
     /** The list can't be had, or a watch of it broke. */
     public void listFailed(long nowUs) {
-        told = true;
         logic.listFailed(nowUs);
     }
 
@@ -333,7 +341,7 @@
                 if (limited) {
                     timer(untilUs, What.PUSH_ENDS, decision.op(), number);
                 }
-                ready.add(new Order.Push(decision.op(), number, decision.endpoint(), to.address(), op.content, untilUs));
+                ready.add(new Order.Push(decision.op(), number, op.client, decision.endpoint(), to.address(), op.content, untilUs));
             }
             case NACK -> {
                 ready.add(new Order.Nack(op.client, decision.us()));
--- a/sidecar/src/main/java/dillcross/sidecar/Order.java
+++ b/sidecar/src/main/java/dillcross/sidecar/Order.java
@@ -2,8 +2,8 @@
 
 /** One thing for the network to carry out. */
 public sealed interface Order {
-    /** Push the content of an op to an endpoint, who is at the address; {@code untilUs} is when it will be given up. */
-    record Push(long op, int push, String endpoint, String address, Object content, long untilUs) implements Order { }
+    /** Push the content of a client's op to an endpoint, who is at the address; {@code untilUs} is when it will be given up. */
+    record Push(long op, int push, Object client, String endpoint, String address, Object content, long untilUs) implements Order { }
 
     /** Stop waiting for a push, and report how far it came. */
     record GiveUp(long op, int push) implements Order { }
