The emulator's oracle: drains count as told by the clock, and clients that have gone

Need: two terms of acceptance. A drain counts as told 6 s after the list had it and could be reached, read or not; nothing of an op begins 0.1 s after its client closed. Both by what the world sees. A list that is out in silence now also swallows the watches that are open (they were answered at their end).

--- a/emulator/src/main/java/dillcross/emulator/oracle/Ask.java
+++ b/emulator/src/main/java/dillcross/emulator/oracle/Ask.java
@@ -34,6 +34,7 @@
     public long answerUs; // when the first byte of its answer was sent; 0 while there is none
     public int status; // of that
     public int answers;
+    public long leftUs; // when its client closed its connection; 0 while it has not
     public boolean excused; // its client left, or its sidecar was ended under it
     public boolean orphan; // that sidecar's process ended: what it wrote its system may send later than it would have allowed
     public boolean over;
--- a/emulator/src/main/java/dillcross/emulator/oracle/Oracle.java
+++ b/emulator/src/main/java/dillcross/emulator/oracle/Oracle.java
@@ -14,6 +14,8 @@
  * what the list told whom. It never looks into the sidecars' books.
  */
 public final class Oracle {
+    private static final long TOLD_US = 6_000_000; // after which news counts as told, whether or not it was had
+    private static final long GONE_US = 100_000; // after its client's close, by when nothing more of an op begins
     private static final int MOST = 50; // violations that are kept; a broken day has thousands
 
     /** What one sidecar knows of one endpoint, from what it has read of the list. */
@@ -27,6 +29,9 @@
     private final Map<String, Map<String, Told>> told = new HashMap<>(); // by sidecar's process, by endpoint
     private final Map<String, String> effects = new HashMap<>(); // by key, where it was carried out
     private final List<long[]> stalls = new ArrayList<>(); // sidecar, from, until
+    private final Map<String, Long> left = new HashMap<>(); // by endpoint, when the list had it that it leaves
+    private final Map<String, Long> begun = new HashMap<>(); // by sidecar's process
+    private final List<long[]> deaf = new ArrayList<>(); // from, until: times in which the list can't be reached, or tells old news
     private final List<long[]> unseen = new ArrayList<>(); // from, until: times in which endpoints can't see all pushes
     private final List<Violation> violations = new ArrayList<>();
     private long broken;
@@ -145,6 +150,40 @@
 
     // ---- The list
 
+    /** The list has it that an endpoint is in service, or leaves. */
+    public void has(String endpoint, boolean inService) {
+        if (inService) {
+            left.remove(endpoint);
+        } else {
+            left.putIfAbsent(endpoint, now.getAsLong());
+        }
+    }
+
+    /** The list can't be reached, by some at the least, or tells what is old. */
+    public void deaf(long fromUs, long untilUs) {
+        deaf.add(new long[] {fromUs, untilUs});
+    }
+
+    /** A sidecar's process has begun. */
+    public void begun(String process) {
+        begun.put(process, now.getAsLong());
+    }
+
+    /** From when on a process is held to it that an endpoint leaves: so long after the list had it and could be reached all the time. */
+    private long dueUs(String process, String endpoint) {
+        long fromUs = Math.max(left.get(endpoint), begun.getOrDefault(process, 0L));
+        for (boolean moved = true; moved;) {
+            moved = false;
+            for (long[] span : deaf) {
+                if (span[0] < fromUs + TOLD_US && span[1] > fromUs) {
+                    fromUs = span[1];
+                    moved = true;
+                }
+            }
+        }
+        return fromUs + TOLD_US;
+    }
+
     /** A sidecar's process has read what the list says of an endpoint. */
     public void told(String process, String endpoint, boolean inService, long startedMs) {
         Map<String, Told> known = told.computeIfAbsent(process, p -> new HashMap<>());
@@ -181,9 +220,14 @@
         if (ask.sentUs != Long.MAX_VALUE && sentUs > ask.sentUs + ask.ttlUs() + slackUs(ask)) {
             broke(Rule.NOTHING_AFTER, ask, "a push to " + endpoint + " left after its TTL");
         }
+        if (ask.leftUs > 0 && sentUs > ask.leftUs + GONE_US + slackUs(ask)) {
+            broke(Rule.NOTHING_AFTER, ask, "a push to " + endpoint + " left " + (sentUs - ask.leftUs) / 1000 + " ms after its client had gone");
+        }
         Told is = told.getOrDefault(process, Map.of()).get(endpoint);
         if (is != null && !is.inService && sentUs > is.atUs + scenario.rules().drainSlackMs() * 1000) {
             broke(Rule.DRAIN_KEPT, ask, "a push to " + endpoint + " left " + (sentUs - is.atUs) / 1000 + " ms after it was told to drain");
+        } else if (left.containsKey(endpoint) && sentUs > dueUs(process, endpoint) + scenario.rules().drainSlackMs() * 1000) {
+            broke(Rule.DRAIN_KEPT, ask, "a push to " + endpoint + " left " + (sentUs - dueUs(process, endpoint)) / 1000 + " ms after its drain counted as told");
         }
         return push;
     }
--- a/emulator/src/main/java/dillcross/emulator/world/Clients.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Clients.java
@@ -221,6 +221,7 @@
                     if (ask == of) {
                         world.trace().note("leave", "op", of.id);
                         of.excused = true;
+                        of.leftUs = world.now();
                         close();
                         finish();
                     }
--- a/emulator/src/main/java/dillcross/emulator/world/Directory.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Directory.java
@@ -81,6 +81,7 @@
 
     void put(Server server, String state, long startedMs) {
         version++;
+        world.oracle().has(server.id, state.equals("in_service"));
         entries.put(server.id, new Entry(server.id, server.address, server.zone, server.cell, state, Math.round(server.weight() * 100) / 100.0, startedMs, version));
         news();
     }
@@ -88,6 +89,7 @@
     void remove(Server server) {
         version++;
         Entry was = entries.get(server.id);
+        world.oracle().has(server.id, false);
         entries.put(server.id, new Entry(was.id, was.address, was.zone, was.cell, "terminated", was.weight, was.startedMs, version));
         news();
     }
@@ -114,6 +116,9 @@
             calls.clear();
             watches.clear();
         }
+        if (now && mode.equals("silent")) {
+            watches.clear(); // they stay open, and nothing comes on them any more
+        }
         listens(outs == 0 || !outMode.equals("refuse"));
     }
 
--- a/emulator/src/main/java/dillcross/emulator/world/Instance.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Instance.java
@@ -120,6 +120,7 @@
         Roster known = Roster.of(list.known());
         core.list(world.now(), known.version(), true, known.entries(), false);
         list.knows(process());
+        world.oracle().begun(process());
         network = new EmulatedNetwork(world.time(), world.fabric(), host, address.substring(0, address.indexOf(':')), is.turnUs(), this::turned);
         node = new Node(network, is.calls(), core, world::now, given.categories(), given.mostTtlUs(), listAt, given.connectUs(),
                 given.keepUs(), is.descriptors(), limits.mostBody(), limits.room());
--- a/emulator/src/main/java/dillcross/emulator/world/Troubles.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Troubles.java
@@ -67,6 +67,10 @@
                 world.oracle().unseen(world.now(), endUs + 2_000_000);
             default -> { }
         }
+        switch (is.kind()) {
+            case CUT, LAG, STALL, LIST_OUT, LIST_STALE -> world.oracle().deaf(world.now(), endUs);
+            default -> { }
+        }
         switch (is.kind().on) {
             case ENDPOINT -> endpoints(drawn, endUs);
             case ENDPOINTS -> deploy(drawn);
