Rename: the operators' door is an admin endpoint

The standard term, in code, log line, messages and docs; in the emulator the class of that name was a listening socket and is called so. The key admin_addr and the scenarios' kind "door" stay, as keys do. Nothing else changes.

--- a/emulator/src/main/java/dillcross/emulator/scenario/Trouble.java
+++ b/emulator/src/main/java/dillcross/emulator/scenario/Trouble.java
@@ -49,7 +49,7 @@
         KILL(On.SIDECAR),
         /** A sidecar's process stands still. */
         STALL(On.SIDECAR),
-        /** A sidecar is told to drain at its operators' door, and to resume after a while. */
+        /** A sidecar is told to drain at its admin endpoint, and to resume after a while. */
         DOOR(On.SIDECAR),
         /** A sidecar's configuration is read again, and the list is at its other address from then on. */
         RELOAD(On.SIDECAR),
--- a/emulator/src/main/java/dillcross/emulator/wire/EmulatedNetwork.java
+++ b/emulator/src/main/java/dillcross/emulator/wire/EmulatedNetwork.java
@@ -33,7 +33,7 @@
     private long turnsMade;
     private long turnsInMs;
     private long msOfTurns;
-    private final Set<Door> doors = new LinkedHashSet<>();
+    private final Set<ListeningSocket> listeningSockets = new LinkedHashSet<>();
 
     /** {@code turned} is called after each turn. */
     public EmulatedNetwork(Timeline time, Fabric fabric, Host host, String ip, long turnUs, Runnable turned) {
@@ -62,7 +62,7 @@
     /** The process ends, by its own will or not. */
     public void die() {
         dead = true;
-        doors.forEach(door -> fabric.unlisten(door.address));
+        listeningSockets.forEach(listening -> fabric.unlisten(listening.address));
     }
 
     @Override
@@ -137,12 +137,12 @@
 
     @Override
     public Entrance bind(InetSocketAddress at, Taker taker) throws IOException {
-        Door door = new Door(ip + ":" + at.getPort(), taker);
-        if (!fabric.listen(door.address, door)) {
-            throw new IOException("Address already in use: " + door.address);
+        ListeningSocket listening = new ListeningSocket(ip + ":" + at.getPort(), taker);
+        if (!fabric.listen(listening.address, listening)) {
+            throw new IOException("Address already in use: " + listening.address);
         }
-        doors.add(door);
-        return door;
+        listeningSockets.add(listening);
+        return listening;
     }
 
     @Override
@@ -154,14 +154,14 @@
     }
 
     /** A listening socket; what connects while it accepts nothing waits in its queue. */
-    private final class Door implements Entrance, Fabric.Entry {
+    private final class ListeningSocket implements Entrance, Fabric.Entry {
         private final String address;
         private final Taker taker;
         private final ArrayDeque<Socket> queue = new ArrayDeque<>();
         private boolean accepts = true;
         private boolean open = true;
 
-        Door(String address, Taker taker) {
+        ListeningSocket(String address, Taker taker) {
             this.address = address;
             this.taker = taker;
         }
@@ -175,7 +175,7 @@
         public void connected(End end) {
             Socket socket = new Socket();
             socket.end = end;
-            socket.door = this;
+            socket.listening = this;
             end.owner(socket);
             queue.add(socket);
             if (accepts) {
@@ -204,7 +204,7 @@
         @Override
         public void close() {
             for (Socket waits; accepts && (waits = queue.poll()) != null;) {
-                waits.door = null;
+                waits.listening = null;
                 waits.ear = taker.accepted(waits);
                 mark(waits);
             }
@@ -220,7 +220,7 @@
         private End end;
         private Ear ear;
         private Asker asker; // until it is up
-        private Door door; // until it is accepted
+        private ListeningSocket listening; // until it is accepted
         private boolean cameUp;
         private boolean failed;
         private boolean isTaken;
@@ -243,9 +243,9 @@
 
         @Override
         public void readable(End from) {
-            if (tells && door == null && asker == null) {
+            if (tells && listening == null && asker == null) {
                 mark(this);
-            } else if (door != null && door.accepts) {
+            } else if (listening != null && listening.accepts) {
                 mark(this);
             }
         }
@@ -261,13 +261,13 @@
             if (closed) {
                 return;
             }
-            if (door != null) {
-                if (!door.accepts || !door.open) {
+            if (listening != null) {
+                if (!listening.accepts || !listening.open) {
                     return;
                 }
-                door.queue.remove(this);
-                Taker taker = door.taker;
-                door = null;
+                listening.queue.remove(this);
+                Taker taker = listening.taker;
+                listening = null;
                 ear = taker.accepted(this);
             }
             if (asker != null) {
--- a/emulator/src/main/java/dillcross/emulator/world/Instance.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Instance.java
@@ -17,7 +17,7 @@
 
 /** One sidecar: a machine, and on it one process after another that runs the sidecar's own code. */
 final class Instance {
-    private static final int DOOR_PORT = 9900;
+    private static final int ADMIN_PORT = 9900;
     private static final long MOST_STOP_US = 700_000; // after SIGTERM and the longest TTL it is killed
 
     final int index;
@@ -127,7 +127,7 @@
         ready = false;
         stopping = false;
         try {
-            node.open(new InetSocketAddress(address.substring(0, address.indexOf(':')), DOOR_PORT));
+            node.open(new InetSocketAddress(address.substring(0, address.indexOf(':')), ADMIN_PORT));
             node.begin(new InetSocketAddress(address.substring(0, address.indexOf(':')), 9000));
         } catch (IOException e) {
             throw new IllegalStateException(e);
@@ -189,16 +189,16 @@
         world.fabric().end(host);
     }
 
-    /** An operator calls at its door, and wants a yes while its process can serve. */
-    void callDoor(String path) {
+    /** An operator calls at its admin endpoint, and wants a yes while its process can serve. */
+    void callAdmin(String path) {
         int mine = starts;
         boolean able = node != null && ready && !stopping;
         Incoming incoming = new Incoming();
-        world.trace().note("door", "sidecar", name, "path", path);
-        world.fabric().connect(app, address.substring(0, address.indexOf(':')) + ":" + DOOR_PORT, new End.Owner() {
+        world.trace().note("admin", "sidecar", name, "path", path);
+        world.fabric().connect(app, address.substring(0, address.indexOf(':')) + ":" + ADMIN_PORT, new End.Owner() {
             @Override
             public void up(End end) {
-                end.send(Incoming.message("POST " + path + " HTTP/1.1", new byte[0], false, "Host", "door"), null);
+                end.send(Incoming.message("POST " + path + " HTTP/1.1", new byte[0], false, "Host", "admin"), null);
             }
 
             @Override
@@ -220,7 +220,7 @@
 
             private void answered(int status) {
                 if (able && mine == starts && node != null && !stopping && status != 200) {
-                    world.oracle().broke(Rule.TRUE_CONTENT, null, name + " answered " + status + " at its door to " + path);
+                    world.oracle().broke(Rule.TRUE_CONTENT, null, name + " answered " + status + " at its admin endpoint to " + path);
                 }
             }
         });
--- a/emulator/src/main/java/dillcross/emulator/world/Troubles.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Troubles.java
@@ -162,7 +162,7 @@
             switch (drawn.from().kind()) {
                 case STALL -> s.stall(drawn.forUs());
                 case RELOAD -> s.reload();
-                case DOOR -> span(endUs, now -> s.callDoor(now ? "/-/drain" : "/-/resume"));
+                case DOOR -> span(endUs, now -> s.callAdmin(now ? "/-/drain" : "/-/resume"));
                 case KILL -> {
                     s.kill();
                     world.time().at(endUs, s::boot);
--- a/fleet/src/main/java/dillcross/fleet/Child.java
+++ b/fleet/src/main/java/dillcross/fleet/Child.java
@@ -21,12 +21,12 @@
  * when this process ends in whatever way: nothing is left behind, also after SIGKILL. Signals go to this child's own process id alone.
  */
 final class Child implements AutoCloseable {
-    private static final Pattern DOOR = Pattern.compile(".*operators' door on ([0-9.:]+).*");
+    private static final Pattern ADMIN = Pattern.compile(".*admin endpoint on ([0-9.:]+).*");
     private static final Pattern MEMBERSHIP = Pattern.compile(".*membership on ([0-9.:]+) as .*");
     private static final Pattern READY = Pattern.compile(".*ready on ([0-9.:]+) after.*");
     private final Process guard;
     private final long pid;
-    private final CompletableFuture<String> door = new CompletableFuture<>();
+    private final CompletableFuture<String> admin = new CompletableFuture<>();
     private final CompletableFuture<String> ready = new CompletableFuture<>();
     final long startedNs = System.nanoTime();
 
@@ -46,14 +46,14 @@
                     if (m.matches()) {
                         home.accept(m.group(1));
                     }
-                    found(DOOR, line, door);
+                    found(ADMIN, line, admin);
                     found(READY, line, ready);
                 }
             } catch (IOException | UncheckedIOException closed) {
-                door.completeExceptionally(closed);
+                admin.completeExceptionally(closed);
             }
             IOException ended = new IOException("the process has ended; see " + log);
-            door.completeExceptionally(ended);
+            admin.completeExceptionally(ended);
             ready.completeExceptionally(ended);
         }, "log " + pid);
         reader.setDaemon(true);
@@ -75,8 +75,8 @@
         }
     }
 
-    String door() throws IOException, InterruptedException {
-        return wait(door);
+    String admin() throws IOException, InterruptedException {
+        return wait(admin);
     }
 
     String address() throws IOException, InterruptedException {
@@ -84,8 +84,8 @@
     }
 
     /** Null until it has said so. */
-    String doorNow() {
-        return door.isDone() && !door.isCompletedExceptionally() ? door.join() : null;
+    String adminNow() {
+        return admin.isDone() && !admin.isCompletedExceptionally() ? admin.join() : null;
     }
 
     /** Null until it is ready. */
--- a/fleet/src/main/java/dillcross/fleet/Fleet.java
+++ b/fleet/src/main/java/dillcross/fleet/Fleet.java
@@ -159,9 +159,9 @@
     /** Null where it gives none, as when it is stopped or starts. */
     View view(int member) {
         Child child = children[member];
-        String door = child == null ? null : child.doorNow();
+        String admin = child == null ? null : child.adminNow();
         try {
-            return door == null ? null : View.of(door);
+            return admin == null ? null : View.of(admin);
         } catch (IOException silent) {
             return null;
         }
--- a/fleet/src/main/java/dillcross/fleet/Report.java
+++ b/fleet/src/main/java/dillcross/fleet/Report.java
@@ -26,7 +26,7 @@
         for (Schedule.Drawn drawn : result.faults()) {
             all.append(String.format(Locale.ROOT, "%8.1f s  %s%n", drawn.atMs() / 1000.0, drawn.told()));
         }
-        all.append(String.format(Locale.ROOT, "deaths detected by %d observers: p50 %.1f s, p99 %.1f s, worst %.1f s (seen at the door every %d ms)%n", result.detectMs().getTotalCount(),
+        all.append(String.format(Locale.ROOT, "deaths detected by %d observers: p50 %.1f s, p99 %.1f s, worst %.1f s (seen at the admin endpoint every %d ms)%n", result.detectMs().getTotalCount(),
                 result.detectMs().getValueAtPercentile(50) / 1000.0, result.detectMs().getValueAtPercentile(99) / 1000.0, result.detectMs().getMaxValue() / 1000.0, Run.LOOK_MS));
         all.append(String.format(Locale.ROOT, "false deaths %d pairs in %.2f member hours; agreed %.1f s after the last fault%n", result.falseDeaths(), result.memberHours(),
                 result.agreedMs() / 1000.0));
--- a/fleet/src/main/java/dillcross/fleet/Run.java
+++ b/fleet/src/main/java/dillcross/fleet/Run.java
@@ -28,7 +28,7 @@
     /**
      * What came of it.
      *
-     * @param detectMs from a kill until an observer held the member dead, as seen at the door every {@link #LOOK_MS}
+     * @param detectMs from a kill until an observer held the member dead, as seen at the admin endpoint every {@link #LOOK_MS}
      * @param falseDeaths pairs in which a member that ran, was not paused nor cut off was held dead
      * @param agreedMs from the end of the last fault until all agreed; -1 where they did not in time
      */
--- a/fleet/src/main/java/dillcross/fleet/View.java
+++ b/fleet/src/main/java/dillcross/fleet/View.java
@@ -10,14 +10,14 @@
 import java.util.List;
 import java.util.Map;
 
-/** What one sidecar's door says at a moment: its own name, whom it holds for what, and its counts. */
+/** What one sidecar's admin endpoint says at a moment: its own name, whom it holds for what, and its counts. */
 record View(String name, int health, Map<String, String> states, Map<String, Long> boots, Map<String, Long> counts) {
     /** @throws IOException where there is no answer, as from a process that is stopped */
-    static View of(String door) throws IOException {
-        int colon = door.lastIndexOf(':');
+    static View of(String admin) throws IOException {
+        int colon = admin.lastIndexOf(':');
         try (Socket socket = new Socket()) {
             socket.setSoTimeout(400);
-            socket.connect(new InetSocketAddress(door.substring(0, colon), Integer.parseInt(door.substring(colon + 1))), 400);
+            socket.connect(new InetSocketAddress(admin.substring(0, colon), Integer.parseInt(admin.substring(colon + 1))), 400);
             socket.getOutputStream().write("GET /-/members HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
             String all = new String(in.readAllBytes(), StandardCharsets.UTF_8);
--- a/sidecar/src/main/java/dillcross/cli/Commands.java
+++ b/sidecar/src/main/java/dillcross/cli/Commands.java
@@ -54,9 +54,9 @@
     @Command(name = "members", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "Show whom a running sidecar holds for its fellows.",
             exitCodeListHeading = "%nExit status:%n", exitCodeList = {"0:shown", "1:no answer, or it knows of no others", "2:faulty input"})
-    int members(@picocli.CommandLine.Parameters(paramLabel = "ADDR", description = "Its operators' door (admin_addr).") String door,
-            @Option(names = "--json", description = "As the door gives it.") boolean json) {
-        return MembersView.show(door, json, System.out, System.err);
+    int members(@picocli.CommandLine.Parameters(paramLabel = "ADDR", description = "Its admin endpoint (admin_addr).") String admin,
+            @Option(names = "--json", description = "As the admin endpoint gives it.") boolean json) {
+        return MembersView.show(admin, json, System.out, System.err);
     }
 
     /** Made only when there is something to say: starting the logger costs CPU that a run is billed for. */
--- a/sidecar/src/main/java/dillcross/cli/MembersView.java
+++ b/sidecar/src/main/java/dillcross/cli/MembersView.java
@@ -14,22 +14,22 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** Prints what a sidecar's door says of its fellows. */
+/** Prints what a sidecar's admin endpoint says of its fellows. */
 final class MembersView {
     private MembersView() {
     }
 
-    static int show(String door, boolean json, PrintStream out, PrintStream err) {
-        if (Address.parse(door) == null) {
-            err.println("dillcross: not a numeric address and port: " + door);
+    static int show(String admin, boolean json, PrintStream out, PrintStream err) {
+        if (Address.parse(admin) == null) {
+            err.println("dillcross: not a numeric address and port: " + admin);
             return 2;
         }
         try {
             HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(3)).build();
-            HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + door + "/-/members"))
+            HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + admin + "/-/members"))
                     .timeout(Duration.ofSeconds(5)).build(), HttpResponse.BodyHandlers.ofString());
             if (answer.statusCode() != 200) {
-                err.println("dillcross: " + door + " shows no members (" + answer.statusCode() + "): membership is off there, or it is no door");
+                err.println("dillcross: " + admin + " shows no members (" + answer.statusCode() + "): membership is off there, or it is no admin endpoint");
                 return 1;
             }
             if (json) {
@@ -39,7 +39,7 @@
             }
             return 0;
         } catch (IOException e) {
-            err.println("dillcross: no answer from " + door + ": " + e);
+            err.println("dillcross: no answer from " + admin + ": " + e);
             return 1;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/sidecar/src/main/java/dillcross/cli/Serve.java
+++ b/sidecar/src/main/java/dillcross/cli/Serve.java
@@ -54,7 +54,7 @@
         Given read = Given.file(file, System.getenv());
         address(read, "listen");
         address(read, "discovery");
-        door(read);
+        admin(read);
         known(read);
         Given settings = read.below("settings");
         settings.instance(read.seed(), ASKS, Node.MOST_PAUSE_US);
@@ -100,7 +100,7 @@
         if (!settings.subscribes()) {
             node.asksFirst();
         }
-        node.open(door(given));
+        node.open(admin(given));
         Rehearsal.run(settings.instance(0, ASKS, Node.MOST_PAUSE_US), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
@@ -176,8 +176,8 @@
         }
     }
 
-    /** Where operators call; null where they have no door. */
-    private static InetSocketAddress door(Given given) {
+    /** Where operators call; null where they have no admin endpoint. */
+    private static InetSocketAddress admin(Given given) {
         return given.has("admin_addr") ? address(given, "admin_addr") : null;
     }
 
--- a/sidecar/src/main/java/dillcross/net/Door.java
+++ b/sidecar/src/main/java/dillcross/net/AdminEndpoint.java
@@ -8,13 +8,13 @@
 import java.util.logging.Logger;
 
 /**
- * The operators' door, at an address of its own: one call a connection. It has room of its own too, so a crowd of clients
+ * The admin endpoint, at an address of its own: one call a connection. It has room of its own too, so a crowd of clients
  * can't shut it, and callers that finish no call give way to the next.
  */
-final class Door implements Part, Network.Taker {
+final class AdminEndpoint implements Part, Network.Taker {
     static final int MOST = 8; // connections, descriptors set aside for them
     private static final long CALL_US = 5_000_000; // that one may stay
-    private static final Logger LOG = Logger.getLogger(Door.class.getName());
+    private static final Logger LOG = Logger.getLogger(AdminEndpoint.class.getName());
 
     private final Life life;
     private final LongSupplier clock;
@@ -22,7 +22,7 @@
     private final Budget budget = new Budget(MOST * 64L << 10);
     private final Set<Link> links = new LinkedHashSet<>(); // the oldest first
 
-    Door(Life life, LongSupplier clock) {
+    AdminEndpoint(Life life, LongSupplier clock) {
         this.life = life;
         this.clock = clock;
     }
--- a/sidecar/src/main/java/dillcross/net/Life.java
+++ b/sidecar/src/main/java/dillcross/net/Life.java
@@ -1,7 +1,7 @@
 package dillcross.net;
 
 /**
- * Where this process stands, in one place: health, the operators' door, the listener and SIGTERM read it here and keep
+ * Where this process stands, in one place: health, the admin endpoint, the listener and SIGTERM read it here and keep
  * no flags of their own. Only the selector thread touches it.
  */
 final class Life {
--- a/sidecar/src/main/java/dillcross/net/Members.java
+++ b/sidecar/src/main/java/dillcross/net/Members.java
@@ -17,7 +17,7 @@
 import java.util.Map;
 import java.util.logging.Logger;
 
-/** The datagrams of a membership, in and out, on the one thread; and its view, for the door. */
+/** The datagrams of a membership, in and out, on the one thread; and its view, for the admin endpoint. */
 public final class Members implements Network.Hearer {
     private static final Logger LOG = Logger.getLogger(Members.class.getName());
     private static final double FROM_MEMBERS = 2000; // datagrams a second that are read: at most some hundredths of a core
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -40,11 +40,11 @@
     private final CountDownLatch warm = new CountDownLatch(1);
     private final CountDownLatch done = new CountDownLatch(1);
     private final Life life = new Life(); // the selector thread's alone
-    private final Door door = new Door(life, this::now);
+    private final AdminEndpoint admin = new AdminEndpoint(life, this::now);
     private volatile long mostTtlUs; // of all settings so far: an op may be open from any of them
     private final Queue<Runnable> changes = new ConcurrentLinkedQueue<>(); // to carry out between two turns
     private Members members; // null where this sidecar knows of no others
-    private String doorIs; // the operators' address; null where they have none
+    private String adminAddress; // the operators' address; null where they have none
     private String self; // the address at which it asks itself to get warm; null where there is none
     private volatile Network.Entrance entrance; // the clients'
     private volatile boolean starting; // the two above are set
@@ -126,19 +126,19 @@
     /** Takes part among others, from the first turn on; before {@link #open}. */
     public void joins(Members own) {
         members = own;
-        door.shows(own);
+        admin.shows(own);
     }
 
-    /** Begins to turn, and opens the operators' door if they have one: they may ask from the first moment on. */
-    public void open(InetSocketAddress doorAt) throws IOException {
+    /** Begins to turn, and opens the admin endpoint if they have one: they may ask from the first moment on. */
+    public void open(InetSocketAddress adminAt) throws IOException {
         network.start(this);
         if (members != null) {
             members.open(network);
             network.wake();
         }
-        if (doorAt != null) {
-            doorIs = network.bind(doorAt, door).address();
-            LOG.info(() -> "operators' door on " + doorIs);
+        if (adminAt != null) {
+            adminAddress = network.bind(adminAt, admin).address();
+            LOG.info(() -> "admin endpoint on " + adminAddress);
         }
     }
 
@@ -184,7 +184,7 @@
             listener.serve(entrance);
             self = entrance.address();
         } else if (network.inherits()) {
-            self = doorIs; // through the clients' socket the process before this one would be asked
+            self = adminAddress; // through the clients' socket the process before this one would be asked
         } else {
             throw new IOException("NODE_FD names no listening socket that can be taken over (descriptor 0)");
         }
@@ -205,7 +205,7 @@
     }
 
     /**
-     * Warms up before the first client comes: asks itself for its health, or at the door, over real sockets and through every filter.
+     * Warms up before the first client comes: asks itself for its health, or at the admin endpoint, over real sockets and through every filter.
      * The answers belong to no op, so the core passes them over.
      */
     private void rehearse() {
@@ -308,7 +308,7 @@
             if (now - sweptUs >= SWEEP_US || life.stopping() && life.lettingGo(now)) {
                 sweptUs = now;
                 listener.sweep(now);
-                door.sweep(now);
+                admin.sweep(now);
             }
             if (life.stopping()) {
                 wind();
--- a/sidecar/src/test/java/dillcross/cli/CrossingIT.java
+++ b/sidecar/src/test/java/dillcross/cli/CrossingIT.java
@@ -467,7 +467,7 @@
     @Test
     void aStopBeforeItIsReadyEndsTheStart() throws Exception {
         start(entry("a", "in_service", a.address()), "\"seed\"", "\"admin_addr\":\"127.0.0.1:0\",\"seed\"");
-        awaitLine("operators' door on");
+        awaitLine("admin endpoint on");
         signal("TERM");
         signal("TERM");
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
--- a/sidecar/src/test/java/dillcross/cli/ServeIT.java
+++ b/sidecar/src/test/java/dillcross/cli/ServeIT.java
@@ -565,15 +565,15 @@
         assertTrue(said.contains("settings.rules.ask_within_ms"), said);
     }
 
-    /** One call at the operators' door. */
+    /** One call at the admin endpoint. */
     private String call(String call) throws IOException {
-        Socket socket = connect(door);
+        Socket socket = connect(admin);
         String answer = ask(socket, call.contains(" ") ? call + " HTTP/1.1\r\nHost: a\r\n\r\n" : call);
         assertEquals(-1, socket.getInputStream().read(), "one call a connection");
         return answer;
     }
 
-    private void servingWithDoor(String... changes) throws IOException {
+    private void servingWithAdminEndpoint(String... changes) throws IOException {
         List<String> all = new ArrayList<>(List.of("\"seed\"", "\"admin_addr\":\"127.0.0.1:0\",\"seed\""));
         all.addAll(List.of(changes));
         start(entry("a", "in_service", a.address()), all.toArray(String[]::new));
@@ -582,13 +582,13 @@
 
     /** Operators and clients each have their own side; and callers that finish no call give way to the next. */
     @Test
-    void theDoorIsForOperatorsAlone() throws Exception {
-        servingWithDoor();
+    void theAdminEndpointIsForOperatorsAlone() throws Exception {
+        servingWithAdminEndpoint();
         List<Socket> halfCalls = new ArrayList<>();
         for (String[] row : new String[][] {{"GET /-/ready", "200"}, {"GET /-/ready?x=1", "200"}, {"POST /-/ready", "405"}, {"GET /-/drain", "405"},
                 {"POST /-/resume", "200"}, {"GET /healthz", "404"}, {"GET /read/x", "404"}, {"POST /-/else", "404"}, {"nonsense\r\n\r\n", "400"}}) {
             for (int i = 0; i < 8; i++) {
-                halfCalls.add(connect(door));
+                halfCalls.add(connect(admin));
                 halfCalls.get(halfCalls.size() - 1).getOutputStream().write("POST /-/dr".getBytes(StandardCharsets.US_ASCII));
             }
             String answer = call(row[0]);
@@ -606,7 +606,7 @@
     /** In a drain the front is told no, all that comes is served, each answer and then what is idle closes; resume takes all back. */
     @Test
     void aDrainEmptiesAndAResumeTakesBack() throws Exception {
-        servingWithDoor();
+        servingWithAdminEndpoint();
         for (int round = 0; round < 2; round++) {
             Socket idle = connect();
             assertEquals("200", status(ask(idle, op("/read/ok", 2000))));
@@ -635,7 +635,7 @@
 
     @ParameterizedTest
     @CsvSource({"somewhere,2,admin_addr: not a numeric address and port: somewhere", "taken,1,can't start"})
-    void aDoorThatCannotOpenEndsTheStart(String where, int exit, String said) throws Exception {
+    void anAdminEndpointThatCannotOpenEndsTheStart(String where, int exit, String said) throws Exception {
         start(entry("a", "in_service", a.address()), "\"seed\"", "\"admin_addr\":\"" + (where.equals("taken") ? a.address() : where) + "\",\"seed\"");
         assertEquals(exit, process.waitFor());
         String log = String.join("\n", this.log.lines().toList());
@@ -665,7 +665,7 @@
         Path go = folder.resolve("go");
         launcher = List.of("perl", "-e", PLATFORM, go.toString());
         inherits = true;
-        servingWithDoor();
+        servingWithAdminEndpoint();
         BufferedReader said = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
         String[] first = said.readLine().split(" ");
         port = Integer.parseInt(first[3]);
@@ -692,10 +692,10 @@
                 }
             }));
         }
-        int firstDoor = door;
+        int firstAdmin = admin;
         Files.createFile(go);
         awaitReady();
-        assertTrue(door != firstDoor, "its own door");
+        assertTrue(admin != firstAdmin, "its own admin endpoint");
         ProcessHandle old = ProcessHandle.of(Long.parseLong(first[1])).orElseThrow();
         assertTrue(old.isAlive() && old.destroy()); // SIGTERM
         old.onExit().get();
--- a/sidecar/src/test/java/dillcross/cli/Served.java
+++ b/sidecar/src/test/java/dillcross/cli/Served.java
@@ -38,7 +38,7 @@
     Process process;
     BufferedReader log;
     int port;
-    int door;
+    int admin;
     List<String> launcher = List.of(); // what starts the program
     boolean inherits; // ... with a listening socket of its own
     final AtomicInteger ids = new AtomicInteger();
@@ -265,8 +265,8 @@
 
     void awaitReady() throws IOException {
         for (String line; (line = log.readLine()) != null;) {
-            Matcher opened = Pattern.compile("door on 127.0.0.1:([0-9]+)").matcher(line);
-            door = opened.find() ? Integer.parseInt(opened.group(1)) : door;
+            Matcher opened = Pattern.compile("endpoint on 127.0.0.1:([0-9]+)").matcher(line);
+            admin = opened.find() ? Integer.parseInt(opened.group(1)) : admin;
             Matcher ready = Pattern.compile("ready on 127.0.0.1:([0-9]+)").matcher(line);
             if (ready.find()) {
                 port = Integer.parseInt(ready.group(1));
