--- a/sidecar/src/main/java/dillcross/net/AdminEndpoint.java
+++ b/sidecar/src/main/java/dillcross/net/AdminEndpoint.java
@@ -88,7 +88,7 @@
     }
 
     /** Closes who has stayed for too long. */
-    void sweep(long nowUs) {
+    void expire(long nowUs) {
         for (Link link; !links.isEmpty() && nowUs - (link = links.iterator().next()).idleUs > CALL_US;) {
             links.remove(link);
             link.close();
--- a/sidecar/src/main/java/dillcross/net/Discovery.java
+++ b/sidecar/src/main/java/dillcross/net/Discovery.java
@@ -229,7 +229,7 @@
     }
 
     /** A call that hangs has failed; but its answer is taken as long as none after it hangs too. */
-    void sweep(long nowUs) {
+    void expire(long nowUs) {
         if (newest != null && nowUs >= newest.nextUs) {
             Link oldest = older == null ? null : older.link;
             older = newest;
--- a/sidecar/src/main/java/dillcross/net/Endpoints.java
+++ b/sidecar/src/main/java/dillcross/net/Endpoints.java
@@ -61,7 +61,7 @@
     private final ArrayDeque<Exchange> up = new ArrayDeque<>(); // their connections are up, or came up in this turn
     private final Map<String, Pool> pools = new LinkedHashMap<>(); // by endpoint, until it is to be forgotten
     private final Set<Link> links = new LinkedHashSet<>(); // all that are open or opening
-    private long sweptUs;
+    private long expiredUs;
 
     Endpoints(Network network, Core core, LongSupplier clock, int most, long mostBody, Budget budget, Consumer<Object> latest) {
         this.latest = latest;
@@ -351,12 +351,12 @@
     }
 
     /** Ends what does not connect in time, and drops what has been idle for too long. */
-    void sweep(long nowUs) {
+    void expire(long nowUs) {
         for (Exchange e; (e = connecting.peekFirst()) != null && e.connectByUs <= nowUs;) {
             end(e, Ending.Kind.BROKEN, null);
         }
-        if (nowUs - sweptUs > 1_000_000) {
-            sweptUs = nowUs;
+        if (nowUs - expiredUs > 1_000_000) {
+            expiredUs = nowUs;
             for (Link link : List.copyOf(links)) {
                 link.look(nowUs);
                 boolean silent = link.reader.flows() && !link.paused() && link.movedUs > 0 && nowUs - link.movedUs > idleUs;
--- a/sidecar/src/main/java/dillcross/net/Listener.java
+++ b/sidecar/src/main/java/dillcross/net/Listener.java
@@ -351,7 +351,7 @@
      * Who brings no whole request in time is told so, or closed where it has said nothing; who does not read its answer is
      * closed: a slow client would use up the limit. What moves, if only slowly, may go on.
      */
-    void sweep(long nowUs) {
+    void expire(long nowUs) {
         boolean lettingGo = life.lettingGo(nowUs);
         for (Link link : List.copyOf(links)) {
             link.look(nowUs);
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -28,7 +28,7 @@
     private static final int SPARE_DESCRIPTORS = 48; // files, selector, listening socket, list, and what closes
     private static final long ACCEPT_US = 500_000; // after the order to stop, new connections still come
     private static final long QUIET_US = 150_000;
-    private static final long SWEEP_US = 200_000;
+    private static final long EXPIRY_US = 200_000;
 
     private final Core core;
     private final LongSupplier clock;
@@ -52,7 +52,7 @@
     private final long startedUs;
     private final int rehearsals;
     private long rehearsed;
-    private long sweptUs;
+    private long expiredUs;
     private int faults;
     private long now; // the clock when this turn began to gather
     private boolean accepting = true;
@@ -282,18 +282,18 @@
     public long dueInUs() {
         long due = Math.min(core.dueUs(), Math.min(endpoints.dueUs(), discovery.dueUs()));
         due = members == null ? due : Math.min(due, members.dueUs());
-        return Math.min(due - clock.getAsLong(), life.stopping() ? 5_000 : SWEEP_US);
+        return Math.min(due - clock.getAsLong(), life.stopping() ? 5_000 : EXPIRY_US);
     }
 
     @Override
     public void turn() {
         try {
             look();
-            endpoints.sweep(now);
+            endpoints.expire(now);
             for (Runnable change; (change = changes.poll()) != null;) {
                 change.run();
             }
-            discovery.sweep(now);
+            discovery.expire(now);
             if (members != null) {
                 members.turn(now);
             }
@@ -305,13 +305,13 @@
                     carryOut(order);
                 }
             } while (endpoints.sendUp());
-            if (now - sweptUs >= SWEEP_US || life.stopping() && life.lettingGo(now)) {
-                sweptUs = now;
-                listener.sweep(now);
-                admin.sweep(now);
+            if (now - expiredUs >= EXPIRY_US || life.stopping() && life.lettingGo(now)) {
+                expiredUs = now;
+                listener.expire(now);
+                admin.expire(now);
             }
             if (life.stopping()) {
-                wind();
+                shutDown();
             }
         } catch (RuntimeException broken) {
             if (faults++ < MOST_TRACES) { // one that comes back at every turn must not fill the log
@@ -356,7 +356,7 @@
         return String.format(java.util.Locale.ROOT, "%d.%03d", ms / 1000, ms % 1000);
     }
 
-    private void wind() {
+    private void shutDown() {
         long forUs = life.stoppingForUs(now);
         if (accepting && (inherited || forUs > ACCEPT_US)) {
             accepting = false;
--- a/sidecar/src/test/java/dillcross/net/DiscoveryTest.java
+++ b/sidecar/src/test/java/dillcross/net/DiscoveryTest.java
@@ -159,7 +159,7 @@
     private void step() {
         now += STEP_US;
         service.step();
-        discovery.sweep(now);
+        discovery.expire(now);
         for (Order order; (order = core.next(now)) != null;) {
             if (order instanceof Order.Watch watch) {
                 discovery.watch(watch);
