--- a/sidecar/src/main/java/dillcross/net/AdminEndpoint.java
+++ b/sidecar/src/main/java/dillcross/net/AdminEndpoint.java
@@ -20,7 +20,7 @@
     private final LongSupplier clock;
     private Members members; // null where this sidecar knows of no others
     private final Budget budget = new Budget(MOST * 64L << 10);
-    private final Set<Link> links = new LinkedHashSet<>(); // the oldest first
+    private final Set<Connection> connections = new LinkedHashSet<>(); // the oldest first
 
     AdminEndpoint(Life life, LongSupplier clock) {
         this.life = life;
@@ -33,28 +33,28 @@
 
     @Override
     public Network.Ear accepted(Wire wire) {
-        Link link = new Link(wire, this, true, Reader.WHOLE, Reader.WHOLE, budget);
-        link.connected = true;
-        link.idleUs = clock.getAsLong();
-        links.add(link);
-        if (links.size() > MOST) {
-            links.iterator().next().close();
+        Connection connection = new Connection(wire, this, true, Reader.WHOLE, Reader.WHOLE, budget);
+        connection.connected = true;
+        connection.idleUs = clock.getAsLong();
+        connections.add(connection);
+        if (connections.size() > MOST) {
+            connections.iterator().next().close();
         }
-        return link;
+        return connection;
     }
 
     @Override
-    public void closed(Link link) {
-        links.remove(link);
-        link.free();
+    public void closed(Connection connection) {
+        connections.remove(connection);
+        connection.free();
     }
 
     @Override
-    public void message(Link link, Message call, int fault) {
+    public void message(Connection connection, Message call, int fault) {
         Message answer = call != null ? answer(call) : Message.answer(fault, "malformed call");
         answer.fields().put("connection", "close");
-        link.closing = true;
-        link.write(answer); // also where the end of the call has come with it: it was made
+        connection.closing = true;
+        connection.write(answer); // also where the end of the call has come with it: it was made
     }
 
     private Message answer(Message call) {
@@ -89,9 +89,9 @@
 
     /** Closes who has stayed for too long. */
     void expire(long nowUs) {
-        for (Link link; !links.isEmpty() && nowUs - (link = links.iterator().next()).idleUs > CALL_US;) {
-            links.remove(link);
-            link.close();
+        for (Connection connection; !connections.isEmpty() && nowUs - (connection = connections.iterator().next()).idleUs > CALL_US;) {
+            connections.remove(connection);
+            connection.close();
         }
     }
 }
--- a/sidecar/src/main/java/dillcross/net/Link.java
+++ b/sidecar/src/main/java/dillcross/net/Connection.java
@@ -5,7 +5,7 @@
 import java.util.Collection;
 
 /** One connection: its two rings, what is read from them, and whom it serves at the moment. */
-final class Link implements Network.Ear, Wire.Sent {
+final class Connection implements Network.Ear, Wire.Sent {
     private static final int MOST_DROPPED = 1 << 20; // of what still comes after a last answer
     private static final int MOST_BEHIND = 512 << 10; // that is kept of what comes behind an open request
     private static final ByteBuffer DROPPED = ByteBuffer.allocate(32 << 10); // nobody looks at it
@@ -18,7 +18,7 @@
     final Ring in;
     final Ring out;
     final Reader reader;
-    Collection<Link> pooled; // where it waits while it is free
+    Collection<Connection> pooled; // where it waits while it is free
     Stream source; // that takes what comes in here; null while whole messages are read
     Stream sink; // that brings what goes out here
     boolean closesAfter; // ... and once it is over, to be closed
@@ -42,7 +42,7 @@
     private int handed; // bytes of the ring that are being written
 
     /** Of which messages come whole up to that size; larger ones, up to {@code most}, flow. */
-    Link(Wire wire, Part part, boolean requests, int whole, long most, Budget budget) {
+    Connection(Wire wire, Part part, boolean requests, int whole, long most, Budget budget) {
         this.wire = wire;
         this.part = part;
         server = requests;
--- a/sidecar/src/main/java/dillcross/net/Connector.java
+++ b/sidecar/src/main/java/dillcross/net/Connector.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 
-/** Opens connections for a part. Each has its link before it is up, so that it can be given up. */
+/** Opens connections for a part. Each has its connection before it is up, so that it can be given up. */
 final class Connector {
     private final Network network;
     private final Part part;
@@ -19,18 +19,18 @@
         this.budget = budget;
     }
 
-    /** {@code done} hears once, with the link where it is up and with null where it can't be had. */
-    Link open(String address, Consumer<Link> done) {
+    /** {@code done} hears once, with the connection where it is up and with null where it can't be had. */
+    Connection open(String address, Consumer<Connection> done) {
         InetSocketAddress to = Address.parse(address);
         if (to == null) {
             done.accept(null);
             return null;
         }
-        Link[] opening = new Link[1];
+        Connection[] opening = new Connection[1];
         network.connect(to, new Network.Asker() {
             @Override
             public Network.Ear opening(Wire wire) {
-                opening[0] = new Link(wire, part, false, whole, most, budget);
+                opening[0] = new Connection(wire, part, false, whole, most, budget);
                 return opening[0];
             }
 
--- a/sidecar/src/main/java/dillcross/net/Discovery.java
+++ b/sidecar/src/main/java/dillcross/net/Discovery.java
@@ -34,7 +34,7 @@
     /** One call that is out. */
     private final class Call {
         final Order.Watch order;
-        Link link; // null until it is opened
+        Connection connection; // null until it is opened
         long nextUs; // by then it has its answer, or another begins beside it
 
         Call(Order.Watch order, long nextUs) {
@@ -48,7 +48,7 @@
     private final Connector connector;
     private String address;
     private long connectUs;
-    private Link kept; // that brought the last answer, until it carries the next call
+    private Connection kept; // that brought the last answer, until it carries the next call
     private Call newest; // null while none is out that is in time
     private Call older; // had its time, and may be answered still
     private Call former; // at the address before, until the new one answers
@@ -71,41 +71,41 @@
         if (newest != null) {
             return; // the call that is out brings it
         }
-        Link on = kept;
+        Connection on = kept;
         kept = null;
         Call call = new Call(order, clock.getAsLong() + connectUs);
         newest = call;
         if (on != null && on.isOpen() && !on.ended && !on.stirs() && on.in.size() == 0 && !on.ended) {
-            call.link = on;
+            call.connection = on;
             send(call);
         } else {
             close(on); // what came on it unasked, or behind an answer, must not be read as the next
-            Link opening = connector.open(address, up -> connected(call, up));
-            call.link = call.link == null ? opening : call.link;
+            Connection opening = connector.open(address, up -> connected(call, up));
+            call.connection = call.connection == null ? opening : call.connection;
         }
     }
 
-    private static void close(Link link) {
-        if (link != null) {
-            link.close();
+    private static void close(Connection connection) {
+        if (connection != null) {
+            connection.close();
         }
     }
 
     /** A connection that comes up, or fails, after its call was given up is no word on the calls that are out now. */
-    private void connected(Call call, Link up) {
+    private void connected(Call call, Connection up) {
         if (call != newest && call != older) {
             close(up);
         } else if (up == null) {
             fail(call);
         } else {
-            call.link = up;
+            call.connection = up;
             send(call);
         }
     }
 
     /** From now on the list is at another address; a watch of the old one goes on till that has answered, all else of it ends. */
     void move(String to) {
-        Call watch = !behind && newest != null && newest.link != null && newest.link.connected ? newest : former;
+        Call watch = !behind && newest != null && newest.connection != null && newest.connection.connected ? newest : former;
         newest = watch == newest ? null : newest;
         former = null;
         end(null);
@@ -115,15 +115,15 @@
     }
 
     /** Ends the calls that are out, and every connection but that one. */
-    private void end(Link but) {
+    private void end(Connection but) {
         Call[] calls = {newest, older, former};
-        Link was = kept;
+        Connection was = kept;
         newest = null;
         older = null;
         former = null;
         kept = but;
         for (Call call : calls) {
-            close(call == null || call.link == but ? null : call.link);
+            close(call == null || call.connection == but ? null : call.connection);
         }
         close(was == but ? null : was);
     }
@@ -136,13 +136,13 @@
 
     private void ask(Call call, long forUs) {
         String target = "/v1/servers?since=" + call.order.version() + "&timeout_ms=" + forUs / 1000;
-        call.link.write(Message.request("GET", target, Map.of("host", address), Message.NOTHING));
+        call.connection.write(Message.request("GET", target, Map.of("host", address), Message.NOTHING));
     }
 
     /** It brings nothing more. */
     private void fail(Call call) {
-        Link link = call.link;
-        call.link = null;
+        Connection connection = call.connection;
+        call.connection = null;
         if (call == former) {
             former = null;
         } else if (call == older) {
@@ -151,7 +151,7 @@
             newest = null;
             failed();
         }
-        close(link);
+        close(connection);
     }
 
     /** Has the list asked for again, after a pause. */
@@ -164,9 +164,9 @@
         core.listFailed(clock.getAsLong());
     }
 
-    private Call on(Link link) {
+    private Call on(Connection connection) {
         for (Call call : out()) {
-            if (call != null && call.link == link) {
+            if (call != null && call.connection == connection) {
                 return call;
             }
         }
@@ -178,7 +178,7 @@
     }
 
     @Override
-    public void message(Link from, Message message, int fault) {
+    public void message(Connection from, Message message, int fault) {
         Call call = on(from);
         Roster roster = call != null && message != null && message.status() == 200 ? Roster.parse(message.body()) : null;
         if (roster == null) {
@@ -191,7 +191,7 @@
             from.close();
         } else if (call == former) {
             former = new Call(new Order.Watch(roster.version()), Long.MAX_VALUE);
-            former.link = from;
+            former.connection = from;
             ask(former, WATCH_US);
             core.formerList(clock.getAsLong(), roster.whole(), roster.entries());
         } else {
@@ -206,7 +206,7 @@
     }
 
     @Override
-    public void closed(Link closed) {
+    public void closed(Connection closed) {
         Call call = on(closed);
         kept = kept == closed ? null : kept;
         if (call != null) {
@@ -218,8 +218,8 @@
     /** Takes in what has come meanwhile: what is about to be sent must not be sent by older news. */
     void look() {
         for (Call call : out()) {
-            if (call != null && call.link != null && call.link.connected && call.link.isOpen()) {
-                call.link.readable();
+            if (call != null && call.connection != null && call.connection.connected && call.connection.isOpen()) {
+                call.connection.readable();
             }
         }
     }
@@ -231,7 +231,7 @@
     /** A call that hangs has failed; but its answer is taken as long as none after it hangs too. */
     void expire(long nowUs) {
         if (newest != null && nowUs >= newest.nextUs) {
-            Link oldest = older == null ? null : older.link;
+            Connection oldest = older == null ? null : older.connection;
             older = newest;
             newest = null;
             close(oldest);
--- a/sidecar/src/main/java/dillcross/net/Endpoints.java
+++ b/sidecar/src/main/java/dillcross/net/Endpoints.java
@@ -23,7 +23,7 @@
         final Pool pool;
         final long sentUs;
         final long connectByUs;
-        Link link; // null until it is opened
+        Connection connection; // null until it is opened
         boolean sent; // its request was handed over
         Message begun; // its answer, once that is being passed on
 
@@ -36,14 +36,14 @@
 
         Reach reach() {
             return !sent ? Reach.NOT_CONNECTED
-                    : link.written() ? Reach.WHOLE_WRITTEN : Reach.PARTLY_WRITTEN;
+                    : connection.written() ? Reach.WHOLE_WRITTEN : Reach.PARTLY_WRITTEN;
         }
     }
 
     private record Key(long op, int push) { }
 
     /** The connections to one endpoint that are free. Another endpoint at its address, later, has a pool of its own. */
-    private record Pool(String address, ArrayDeque<Link> free) { }
+    private record Pool(String address, ArrayDeque<Connection> free) { }
 
     // After an answer, for what may come behind it: a second one would answer the next request, which is another client's. Seen
     // up to 3.7 ms late. Harms where ops come at shorter intervals than this: an endpoint then holds a connection or two more.
@@ -60,7 +60,7 @@
     private final ArrayDeque<Exchange> connecting = new ArrayDeque<>(); // in the order of their limits
     private final ArrayDeque<Exchange> up = new ArrayDeque<>(); // their connections are up, or came up in this turn
     private final Map<String, Pool> pools = new LinkedHashMap<>(); // by endpoint, until it is to be forgotten
-    private final Set<Link> links = new LinkedHashSet<>(); // all that are open or opening
+    private final Set<Connection> connections = new LinkedHashSet<>(); // all that are open or opening
     private long expiredUs;
 
     Endpoints(Network network, Core core, LongSupplier clock, int most, long mostBody, Budget budget, Consumer<Object> latest) {
@@ -86,42 +86,42 @@
         }
         Exchange exchange = new Exchange(push, pool, clock.getAsLong(), connectUs);
         exchanges.put(new Key(push.op(), push.push()), exchange);
-        exchange.link = take(pool.free());
-        if (exchange.link != null) {
-            exchange.link.user = exchange; // it may break before it is used
+        exchange.connection = take(pool.free());
+        if (exchange.connection != null) {
+            exchange.connection.user = exchange; // it may break before it is used
             up.add(exchange);
             return;
         }
-        if (links.size() >= most && !closeOneIdle()) {
+        if (connections.size() >= most && !closeOneIdle()) {
             end(exchange, Ending.Kind.NOT_SENT, null); // our limit is no mark against the endpoint
             return;
         }
         connecting.add(exchange);
-        Link opening = connector.open(push.address(), up -> connected(exchange, up));
+        Connection opening = connector.open(push.address(), up -> connected(exchange, up));
         if (opening != null && opening.isOpen()) {
-            links.add(opening);
-            exchange.link = opening;
+            connections.add(opening);
+            exchange.connection = opening;
         }
     }
 
-    private void close(Link link) {
-        links.remove(link); // one that never came up is not reported as closed
-        link.close();
+    private void close(Connection connection) {
+        connections.remove(connection); // one that never came up is not reported as closed
+        connection.close();
     }
 
     /**
      * A connection that is free: the one used last, as it is the least likely to be dead, of those that have rested; null where
      * none has.
      */
-    private Link take(ArrayDeque<Link> free) {
-        for (Iterator<Link> newest = free.descendingIterator(); newest.hasNext();) {
-            Link link = newest.next();
-            if (!usable(link)) {
+    private Connection take(ArrayDeque<Connection> free) {
+        for (Iterator<Connection> newest = free.descendingIterator(); newest.hasNext();) {
+            Connection connection = newest.next();
+            if (!usable(connection)) {
                 newest.remove();
-                close(link);
-            } else if (clock.getAsLong() - link.idleUs >= REST_US) {
+                close(connection);
+            } else if (clock.getAsLong() - connection.idleUs >= REST_US) {
                 newest.remove();
-                return link;
+                return connection;
             }
         }
         return null;
@@ -131,30 +131,30 @@
      * Looks at the socket itself: what came since its answer belongs to nobody. The endpoint closes what is idle for long,
      * and a request that crosses that is lost, so we close before it does.
      */
-    private boolean usable(Link link) {
-        if (link.isOpen() && !link.ended && clock.getAsLong() - link.idleUs < idleUs) {
-            link.fill();
-            return !link.ended && link.in.size() == 0;
+    private boolean usable(Connection connection) {
+        if (connection.isOpen() && !connection.ended && clock.getAsLong() - connection.idleUs < idleUs) {
+            connection.fill();
+            return !connection.ended && connection.in.size() == 0;
         }
         return false;
     }
 
     private boolean closeOneIdle() {
         for (Pool pool : pools.values()) {
-            Link link = pool.free().pollFirst();
-            if (link != null) {
-                close(link);
+            Connection connection = pool.free().pollFirst();
+            if (connection != null) {
+                close(connection);
                 return true;
             }
         }
         return false;
     }
 
-    private void connected(Exchange exchange, Link opened) {
+    private void connected(Exchange exchange, Connection opened) {
         if (opened == null) {
             end(exchange, Ending.Kind.BROKEN, null);
         } else if (connecting.remove(exchange)) {
-            exchange.link = opened;
+            exchange.connection = opened;
             opened.user = exchange;
             up.add(exchange);
         } else { // given up meanwhile
@@ -186,17 +186,17 @@
     }
 
     private void send(Exchange exchange) {
-        Link link = exchange.link;
-        link.user = exchange;
+        Connection connection = exchange.connection;
+        connection.user = exchange;
         exchange.sent = true;
         Message request = (Message) exchange.push.content();
         Map<String, String> fields = request.passedOn();
         long waitMs = Math.max(1, (exchange.push.untilUs() - clock.getAsLong()) / 1000);
         fields.put(Names.TIMEOUT, String.valueOf(waitMs));
-        link.write(request.as(Message.request(request.first(), request.second(), fields, Message.NOTHING)));
-        if (request.flows() && link.isOpen()) {
+        connection.write(request.as(Message.request(request.first(), request.second(), fields, Message.NOTHING)));
+        if (request.flows() && connection.isOpen()) {
             long op = exchange.push.op();
-            new Stream(request.from(), link, request.rest() == Message.UNKNOWN, new Stream.Owner() {
+            new Stream(request.from(), connection, request.rest() == Message.UNKNOWN, new Stream.Owner() {
                 @Override
                 public void letGo() {
                     core.letGo(clock.getAsLong(), op);
@@ -229,10 +229,10 @@
      * that no answer has come on since are not used again, or each would cost one more push.
      */
     private void dropOlder(Exchange silent) {
-        ArrayDeque<Link> free = silent.pool.free();
-        for (Link link; (link = free.peekFirst()) != null && link.idleUs <= silent.sentUs;) {
+        ArrayDeque<Connection> free = silent.pool.free();
+        for (Connection connection; (connection = free.peekFirst()) != null && connection.idleUs <= silent.sentUs;) {
             free.pollFirst();
-            close(link);
+            close(connection);
         }
     }
 
@@ -244,53 +244,53 @@
         }
         Ending ending = new Ending(kind, exchange.reach(), answer);
         connecting.remove(exchange);
-        Link link = exchange.link;
-        if (link != null) {
-            link.user = null;
-            boolean written = link.written();
-            if (link.sink != null) {
-                link.sink.detach();
+        Connection connection = exchange.connection;
+        if (connection != null) {
+            connection.user = null;
+            boolean written = connection.written();
+            if (connection.sink != null) {
+                connection.sink.detach();
             }
-            if (link.source != null) {
-                link.source.detach();
+            if (connection.source != null) {
+                connection.source.detach();
             }
-            boolean unused = kind == Ending.Kind.NOT_SENT && link.connected;
-            boolean whole = answer != null && answer.keepsAlive() && written && link.in.size() == 0
-                    && !link.reader.flows();
+            boolean unused = kind == Ending.Kind.NOT_SENT && connection.connected;
+            boolean whole = answer != null && answer.keepsAlive() && written && connection.in.size() == 0
+                    && !connection.reader.flows();
             boolean known = pools.get(exchange.push.endpoint()) == exchange.pool; // it was not to be forgotten meanwhile
-            if (known && (unused || whole) && !link.ended) {
-                link.idleUs = clock.getAsLong();
-                exchange.pool.free().addLast(link);
-                link.pooled = exchange.pool.free();
-            } else if (kind == Ending.Kind.GIVEN_UP && link.connected) {
-                links.remove(link);
-                link.cut(); // or the system goes on sending what was written, and a network that heals brings it after the answer
+            if (known && (unused || whole) && !connection.ended) {
+                connection.idleUs = clock.getAsLong();
+                exchange.pool.free().addLast(connection);
+                connection.pooled = exchange.pool.free();
+            } else if (kind == Ending.Kind.GIVEN_UP && connection.connected) {
+                connections.remove(connection);
+                connection.cut(); // or the system goes on sending what was written, and a network that heals brings it after the answer
             } else {
-                close(link);
+                close(connection);
             }
         }
         core.ended(clock.getAsLong(), key.op, key.push, ending);
     }
 
     @Override
-    public void message(Link link, Message answer, int fault) {
-        Exchange exchange = (Exchange) link.user;
+    public void message(Connection connection, Message answer, int fault) {
+        Exchange exchange = (Exchange) connection.user;
         if (exchange == null || !exchange.sent || answer == null) {
-            close(link); // an answer that nobody asked for yet, or one that can't be read
+            close(connection); // an answer that nobody asked for yet, or one that can't be read
             return;
         }
         if (!answer.flows() || kind(answer) != Ending.Kind.ACKED) {
             end(exchange, kind(answer), answer);
         } else if (core.begun(clock.getAsLong(), exchange.push.op(), exchange.push.push(), answer)) {
             exchange.begun = answer;
-            link.hold();
+            connection.hold();
         } else {
             end(exchange, Ending.Kind.ERROR, null); // nobody waits for it any more
         }
     }
 
-    /** The rest of an answer that has begun goes on to that link. */
-    void passOn(Message answer, Link to, boolean chunks) {
+    /** The rest of an answer that has begun goes on to that connection. */
+    void passOn(Message answer, Connection to, boolean chunks) {
         Exchange exchange = (Exchange) answer.from().user;
         if (exchange == null || exchange.begun != answer) {
             return; // it broke meanwhile, and was reported
@@ -319,14 +319,14 @@
     }
 
     @Override
-    public void closed(Link link) {
-        links.remove(link);
-        if (link.user != null) {
-            end((Exchange) link.user, Ending.Kind.BROKEN, null);
-        } else if (link.pooled != null) {
-            link.pooled.remove(link); // the endpoint closed it while it was free
+    public void closed(Connection connection) {
+        connections.remove(connection);
+        if (connection.user != null) {
+            end((Exchange) connection.user, Ending.Kind.BROKEN, null);
+        } else if (connection.pooled != null) {
+            connection.pooled.remove(connection); // the endpoint closed it while it was free
         }
-        link.free();
+        connection.free();
     }
 
     /** Pushes that are out. */
@@ -341,8 +341,8 @@
     /** Closes what is free to an endpoint; what is in use goes when it ends, and nothing of it serves another. */
     void forget(String endpoint) {
         Pool pool = pools.remove(endpoint);
-        for (Link link; pool != null && (link = pool.free().pollFirst()) != null;) {
-            close(link);
+        for (Connection connection; pool != null && (connection = pool.free().pollFirst()) != null;) {
+            close(connection);
         }
     }
 
@@ -357,17 +357,17 @@
         }
         if (nowUs - expiredUs > 1_000_000) {
             expiredUs = nowUs;
-            for (Link link : List.copyOf(links)) {
-                link.look(nowUs);
-                boolean silent = link.reader.flows() && !link.paused() && link.movedUs > 0 && nowUs - link.movedUs > idleUs;
-                if (silent && link.user instanceof Exchange e) {
+            for (Connection connection : List.copyOf(connections)) {
+                connection.look(nowUs);
+                boolean silent = connection.reader.flows() && !connection.paused() && connection.movedUs > 0 && nowUs - connection.movedUs > idleUs;
+                if (silent && connection.user instanceof Exchange e) {
                     end(e, Ending.Kind.BROKEN, null); // it gives nothing more, and would hold its place for good
                 }
             }
             for (Pool pool : pools.values()) {
-                for (Link link; (link = pool.free().peekFirst()) != null && !usable(link);) {
+                for (Connection connection; (connection = pool.free().peekFirst()) != null && !usable(connection);) {
                     pool.free().pollFirst();
-                    close(link);
+                    close(connection);
                 }
             }
         }
--- a/sidecar/src/main/java/dillcross/net/Http.java
+++ b/sidecar/src/main/java/dillcross/net/Http.java
@@ -10,54 +10,54 @@
     private Http() {
     }
 
-    /** Takes on what has come on a link, and hands its part a message if that makes one. */
-    static void read(Link link, boolean server) {
-        if (link.reader.flows() && !link.closing) {
-            if (server && link.ended) {
-                link.close(); // a client that closes has gone, and the rest of what it asked for goes no further
+    /** Takes on what has come on a connection, and hands its part a message if that makes one. */
+    static void read(Connection connection, boolean server) {
+        if (connection.reader.flows() && !connection.closing) {
+            if (server && connection.ended) {
+                connection.close(); // a client that closes has gone, and the rest of what it asked for goes no further
                 return;
             }
-            came(link, server); // a client's time begins with its last byte, not when an endpoint takes that
-            if (link.source != null) {
-                link.source.pump();
+            came(connection, server); // a client's time begins with its last byte, not when an endpoint takes that
+            if (connection.source != null) {
+                connection.source.pump();
             }
-            link.hold();
+            connection.hold();
             return;
         }
-        boolean busy = server && link.user != null; // what comes behind a request waits in the ring
-        if (!link.closing && !busy) {
-            Message message = link.reader.read(link.in, link.ended && !link.reset);
-            message = message != null && link.reader.flows() ? message.flowing(link) : message;
-            if (server && link.reader.takeWantsMore()) {
-                link.out.add(CONTINUE);
-                link.flush();
+        boolean busy = server && connection.user != null; // what comes behind a request waits in the ring
+        if (!connection.closing && !busy) {
+            Message message = connection.reader.read(connection.in, connection.ended && !connection.reset);
+            message = message != null && connection.reader.flows() ? message.flowing(connection) : message;
+            if (server && connection.reader.takeWantsMore()) {
+                connection.out.add(CONTINUE);
+                connection.flush();
             }
-            int fault = link.reader.fault() == 0 && server && link.in.starved() ? NO_MEMORY : link.reader.fault();
+            int fault = connection.reader.fault() == 0 && server && connection.in.starved() ? NO_MEMORY : connection.reader.fault();
             if (message != null || fault != 0) {
-                link.part.message(link, message, fault);
-                came(link, server);
+                connection.part.message(connection, message, fault);
+                came(connection, server);
                 return;
             }
         }
-        if (link.ended || link.full() && !busy) {
-            link.close();
+        if (connection.ended || connection.full() && !busy) {
+            connection.close();
         } else if (busy) {
-            link.hold();
+            connection.hold();
         }
     }
 
-    private static void came(Link link, boolean server) {
-        if (server && link.reader.restCame(link.in)) {
-            link.part.came(link);
+    private static void came(Connection connection, boolean server) {
+        if (server && connection.reader.restCame(connection.in)) {
+            connection.part.came(connection);
         }
     }
 
-    /** Sends a message; where there is no room for it nothing of it is sent and the link closes. */
-    static void write(Link link, Message message) {
-        if (link.add(message)) {
-            link.flush();
+    /** Sends a message; where there is no room for it nothing of it is sent and the connection closes. */
+    static void write(Connection connection, Message message) {
+        if (connection.add(message)) {
+            connection.flush();
         } else {
-            link.close();
+            connection.close();
         }
     }
 }
--- a/sidecar/src/main/java/dillcross/net/Listener.java
+++ b/sidecar/src/main/java/dillcross/net/Listener.java
@@ -33,7 +33,7 @@
     private final int most; // connections
     private final long mostBody; // bytes
     private final Budget budget;
-    private final Set<Link> links = new LinkedHashSet<>(); // those that carry nothing in the order since when
+    private final Set<Connection> connections = new LinkedHashSet<>(); // those that carry nothing in the order since when
     private final Set<String> open = new HashSet<>(); // ids of requests that wait for their answer
     private Network.Entrance server;
     private boolean paused;
@@ -51,9 +51,9 @@
 
     /** Takes in what has come from who waits for an answer, which may be its end. */
     void look(Caller caller) {
-        Link link = caller.link();
-        if (link.isOpen() && link.source == null) { // of a body that is moved the end is seen as it is passed on
-            link.readable();
+        Connection connection = caller.connection();
+        if (connection.isOpen() && connection.source == null) { // of a body that is moved the end is seen as it is passed on
+            connection.readable();
         }
     }
 
@@ -71,54 +71,54 @@
 
     @Override
     public Network.Ear accepted(Wire wire) {
-        Link link = new Link(wire, this, true, Reader.WHOLE, mostBody, budget);
-        link.connected = true;
-        link.idleUs = clock.getAsLong();
-        links.add(link);
-        if (links.size() >= most && !closeOne(link)) {
+        Connection connection = new Connection(wire, this, true, Reader.WHOLE, mostBody, budget);
+        connection.connected = true;
+        connection.idleUs = clock.getAsLong();
+        connections.add(connection);
+        if (connections.size() >= most && !closeOne(connection)) {
             pause(true); // at the limit an accept would fail, and fail again, and spin
         }
-        return link;
+        return connection;
     }
 
     /** It carries nothing, and nothing is lost when it is closed. */
-    private static boolean idle(Link link) {
-        return link.user == null && !link.partial() && link.out.size() == 0;
+    private static boolean idle(Connection connection) {
+        return connection.user == null && !connection.partial() && connection.out.size() == 0;
     }
 
     /**
      * Makes room among those with no open request: who has said nothing, or half a request, and had the time to, and who brought
      * none of late; or else who asked once at most and brought none for the longest. Who asked again and again comes last.
      */
-    private boolean closeOne(Link but) {
-        Link last = null;
-        for (Link link : links) {
-            if (link != but && link.user == null && link.out.size() == 0 && link.isOpen()) {
-                long mayUs = link.asked > 0 ? RECENT_US : link.partial() ? BEGUN_US : NEW_US;
-                if (clock.getAsLong() - link.idleUs > mayUs) {
-                    last = link;
+    private boolean closeOne(Connection but) {
+        Connection last = null;
+        for (Connection connection : connections) {
+            if (connection != but && connection.user == null && connection.out.size() == 0 && connection.isOpen()) {
+                long mayUs = connection.asked > 0 ? RECENT_US : connection.partial() ? BEGUN_US : NEW_US;
+                if (clock.getAsLong() - connection.idleUs > mayUs) {
+                    last = connection;
                     break;
                 }
-                last = last == null || last.asked > 1 && link.asked < 2 ? link : last;
+                last = last == null || last.asked > 1 && connection.asked < 2 ? connection : last;
             }
         }
         return last != null && part(last);
     }
 
     /** Closes what seems to carry nothing; but for a request that has come and is not read yet, which would be lost. */
-    private static boolean part(Link link) {
-        boolean stirs = link.stirs();
+    private static boolean part(Connection connection) {
+        boolean stirs = connection.stirs();
         if (stirs) {
-            link.again();
+            connection.again();
         } else {
-            link.close();
+            connection.close();
         }
         return !stirs;
     }
 
     /** A good part of the limit is used up: clients may have a limit of their own, and come to its end before we do. */
     private boolean crowded() {
-        return links.size() > most * 3 / 8;
+        return connections.size() > most * 3 / 8;
     }
 
     private void pause(boolean now) {
@@ -141,67 +141,67 @@
     }
 
     @Override
-    public void closed(Link link) {
-        links.remove(link);
-        if (link.user instanceof Waiting waiting) {
-            link.user = null;
+    public void closed(Connection connection) {
+        connections.remove(connection);
+        if (connection.user instanceof Waiting waiting) {
+            connection.user = null;
             open.remove(waiting.id());
             core.left(clock.getAsLong(), waiting.op());
         }
         pause(false);
-        link.free();
+        connection.free();
     }
 
     // ---- Requests
 
     @Override
-    public void message(Link link, Message request, int fault) {
+    public void message(Connection connection, Message request, int fault) {
         if (request != null) {
-            request(link, request);
+            request(connection, request);
         } else {
-            reject(link, Message.answer(fault, "malformed request, or no room for it"));
+            reject(connection, Message.answer(fault, "malformed request, or no room for it"));
         }
     }
 
     @Override
-    public void came(Link link) {
-        if (link.user instanceof Waiting waiting) {
+    public void came(Connection connection) {
+        if (connection.user instanceof Waiting waiting) {
             core.came(clock.getAsLong(), waiting.op());
         }
     }
 
-    private void request(Link link, Message request) {
-        link.asked++;
+    private void request(Connection connection, Message request) {
+        connection.asked++;
         String path = request.target();
         if (path.equals(Names.HEALTH_PATH)) {
             boolean up = life.healthy();
-            answer(link, request, Message.answer(up ? 200 : 503, up ? "ready" : "not ready"));
+            answer(connection, request, Message.answer(up ? 200 : 503, up ? "ready" : "not ready"));
             return;
         }
-        if (link.ended) {
-            link.close(); // a client that closes has gone
+        if (connection.ended) {
+            connection.close(); // a client that closes has gone
             return;
         }
         int second = path.indexOf('/', 1);
         Category category = categories.get(second < 0 ? path.substring(1) : path.substring(1, second));
         if (category == null) {
-            reject(link, Message.answer(404, "unknown category"));
+            reject(connection, Message.answer(404, "unknown category"));
             return;
         }
         String method = category.effect() == Effect.REDELIVERABLE ? "GET" : "POST";
         String fault = fault(request, category);
         if (!request.first().equals(method)) {
-            reject(link, Message.notAllowed(method));
+            reject(connection, Message.notAllowed(method));
         } else if (fault != null) {
-            reject(link, Message.answer(400, fault));
+            reject(connection, Message.answer(400, fault));
         } else {
             String id = request.field(Names.ID);
             long ttlUs = Math.min(mostTtlUs, Long.parseLong(request.field(Names.TIMEOUT)) * 1000);
             ttlUs = life.within(ttlUs, mostTtlUs, clock.getAsLong());
             open.add(id);
-            long op = core.arrive(clock.getAsLong(), new Caller(link, request), request, request.field(Names.TENANT),
+            long op = core.arrive(clock.getAsLong(), new Caller(connection, request), request, request.field(Names.TENANT),
                     category.name(), ttlUs, "1".equals(request.field(Names.REPEAT)), request.flows());
-            link.user = new Waiting(op, id);
+            connection.user = new Waiting(op, id);
         }
     }
 
@@ -231,7 +231,7 @@
     }
 
     /** Who waits for an op: the connection that it came on, and what it asked for. */
-    record Caller(Link link, Message request) { }
+    record Caller(Connection connection, Message request) { }
 
     /** What a connection waits for: the op, and the client's own name for it. */
     private record Waiting(long op, String id) { }
@@ -239,43 +239,43 @@
     // ---- Answers
 
     /** A bad request is answered, its connection closed, and nothing goes further. */
-    private void reject(Link link, Message answer) {
-        link.dropRest(link.mayDrop);
-        rests(link);
-        write(link, answer);
+    private void reject(Connection connection, Message answer) {
+        connection.dropRest(connection.mayDrop);
+        rests(connection);
+        write(connection, answer);
     }
 
     void answer(Object client, Message answer) {
         Caller caller = (Caller) client;
-        caller.link().user = null;
+        caller.connection().user = null;
         open.remove(caller.request().field(Names.ID));
-        answer(caller.link(), caller.request(), answer);
+        answer(caller.connection(), caller.request(), answer);
     }
 
-    private void answer(Link link, Message request, Message answer) {
-        rests(link);
-        link.closing = closes(link, request);
-        if (link.reader.flows()) {
-            link.dropRest(mostBody); // it still comes
+    private void answer(Connection connection, Message request, Message answer) {
+        rests(connection);
+        connection.closing = closes(connection, request);
+        if (connection.reader.flows()) {
+            connection.dropRest(mostBody); // it still comes
         }
-        if (!link.closing && request.old()) {
+        if (!connection.closing && request.old()) {
             answer.fields().put("connection", "keep-alive");
         }
-        write(link, answer);
-        goOn(link);
+        write(connection, answer);
+        goOn(connection);
     }
 
     /** Who asks once and stays would hold its place for good; told so with the answer, no next request crosses the close. */
-    private boolean closes(Link link, Message request) {
-        return life.leaving() || !request.keepsAlive() || crowded() && link.asked < 2 || link.overrun();
+    private boolean closes(Connection connection, Message request) {
+        return life.leaving() || !request.keepsAlive() || crowded() && connection.asked < 2 || connection.overrun();
     }
 
-    private void goOn(Link link) {
+    private void goOn(Connection connection) {
         pause(false); // it may make room now
-        if (!link.closing) {
-            link.resume();
-            if (link.in.size() > 0) {
-                link.again();
+        if (!connection.closing) {
+            connection.resume();
+            if (connection.in.size() > 0) {
+                connection.again();
             }
         }
     }
@@ -283,42 +283,42 @@
     /** Begins an answer whose rest follows as it comes; whether that is to be written in chunks. */
     boolean pass(Caller caller, Message answer) {
         Message head = answer.as(Message.answer(200, answer.passedOn(), Message.NOTHING)).readBy(caller.request());
-        Link link = caller.link();
-        link.closesAfter = head.rest() == Message.TO_THE_END || closes(link, caller.request());
-        if (link.closesAfter) {
+        Connection connection = caller.connection();
+        connection.closesAfter = head.rest() == Message.TO_THE_END || closes(connection, caller.request());
+        if (connection.closesAfter) {
             head.fields().put("connection", "close");
         }
-        link.write(head);
+        connection.write(head);
         return head.rest() == Message.UNKNOWN;
     }
 
     /** It has come to its end, or broke off, which the client is to see. */
     void passed(Caller caller, boolean whole) {
-        Link link = caller.link();
-        link.user = null;
+        Connection connection = caller.connection();
+        connection.user = null;
         open.remove(caller.request().field(Names.ID));
-        rests(link);
-        if (!whole && link.closesAfter && caller.request().old()) {
-            link.cut();
-        } else if (!whole || link.closesAfter) {
-            link.finish();
+        rests(connection);
+        if (!whole && connection.closesAfter && caller.request().old()) {
+            connection.cut();
+        } else if (!whole || connection.closesAfter) {
+            connection.finish();
         }
-        goOn(link);
+        goOn(connection);
     }
 
     /** From now on it carries nothing: it goes to the end of those that wait to be closed. */
-    private void rests(Link link) {
-        link.idleUs = clock.getAsLong();
-        link.partialUs = 0; // what comes next is timed from its own first byte
-        links.remove(link);
-        links.add(link);
+    private void rests(Connection connection) {
+        connection.idleUs = clock.getAsLong();
+        connection.partialUs = 0; // what comes next is timed from its own first byte
+        connections.remove(connection);
+        connections.add(connection);
     }
 
-    private static void write(Link link, Message answer) {
-        if (link.closing) {
+    private static void write(Connection connection, Message answer) {
+        if (connection.closing) {
             answer.fields().put("connection", "close");
         }
-        link.write(answer);
+        connection.write(answer);
     }
 
     // ---- The end
@@ -344,7 +344,7 @@
 
     /** Nothing more can come on any connection, and all answers are written. */
     boolean drained() {
-        return links.stream().allMatch(l -> l.closing && l.out.size() == 0);
+        return connections.stream().allMatch(l -> l.closing && l.out.size() == 0);
     }
 
     /**
@@ -353,55 +353,55 @@
      */
     void expire(long nowUs) {
         boolean lettingGo = life.lettingGo(nowUs);
-        for (Link link : List.copyOf(links)) {
-            link.look(nowUs);
-            long stillUs = nowUs - Math.max(link.movedUs, link.idleUs);
-            boolean rests = link.user == null && idle(link);
-            if (link.closing) {
-                if (stillUs > (link.out.size() > 0 ? BRING_US : LINGER_US)) {
-                    link.close();
+        for (Connection connection : List.copyOf(connections)) {
+            connection.look(nowUs);
+            long stillUs = nowUs - Math.max(connection.movedUs, connection.idleUs);
+            boolean rests = connection.user == null && idle(connection);
+            if (connection.closing) {
+                if (stillUs > (connection.out.size() > 0 ? BRING_US : LINGER_US)) {
+                    connection.close();
                 }
-            } else if (link.user instanceof Waiting waiting) {
-                carried(link, waiting, nowUs, stillUs);
-            } else if (rests && link.asked > 0) {
-                link.partialUs = 0;
-                if (nowUs - link.idleUs > (lettingGo ? 0 : crowded() ? RECENT_US : IDLE_US)) {
-                    part(link);
+            } else if (connection.user instanceof Waiting waiting) {
+                carried(connection, waiting, nowUs, stillUs);
+            } else if (rests && connection.asked > 0) {
+                connection.partialUs = 0;
+                if (nowUs - connection.idleUs > (lettingGo ? 0 : crowded() ? RECENT_US : IDLE_US)) {
+                    part(connection);
                 }
-            } else if (link.out.size() > 0 && !link.partial()) {
+            } else if (connection.out.size() > 0 && !connection.partial()) {
                 if (stillUs > BRING_US) {
-                    link.close(); // it does not read its answer
+                    connection.close(); // it does not read its answer
                 }
             } else {
-                brings(link, nowUs, rests, lettingGo);
+                brings(connection, nowUs, rests, lettingGo);
             }
         }
     }
 
     /** An op with a large body either way: neither may stand still for good. */
-    private void carried(Link link, Waiting waiting, long nowUs, long stillUs) {
-        if (link.reader.flows() && !link.paused() && stillUs > BRING_US) {
-            link.user = null;
+    private void carried(Connection connection, Waiting waiting, long nowUs, long stillUs) {
+        if (connection.reader.flows() && !connection.paused() && stillUs > BRING_US) {
+            connection.user = null;
             open.remove(waiting.id());
             core.left(nowUs, waiting.op());
-            reject(link, Message.answer(408, "the request stopped coming"));
-        } else if (link.reader.flows() && stillUs > Math.max(BRING_US, mostTtlUs)) {
+            reject(connection, Message.answer(408, "the request stopped coming"));
+        } else if (connection.reader.flows() && stillUs > Math.max(BRING_US, mostTtlUs)) {
             core.stuck(nowUs, waiting.op());
-        } else if (link.sink != null && link.out.size() > 0 && stillUs > IDLE_US) {
-            link.close(); // it reads nothing
+        } else if (connection.sink != null && connection.out.size() > 0 && stillUs > IDLE_US) {
+            connection.close(); // it reads nothing
         }
     }
 
     /** A request that has not come whole: the first counts from connecting, a later one from its first byte. */
-    private void brings(Link link, long nowUs, boolean silent, boolean lettingGo) {
-        link.partialUs = link.partialUs > 0 ? link.partialUs : link.asked == 0 ? link.idleUs : nowUs;
-        boolean within = link.reader.within();
-        boolean late = nowUs - link.partialUs > (within ? BODY_US : silent ? BRING_US : HEAD_US)
-                || within && nowUs - Math.max(link.movedUs, link.partialUs) > BRING_US;
-        if (silent && (late || lettingGo && nowUs - link.idleUs > NEW_US)) {
-            part(link);
+    private void brings(Connection connection, long nowUs, boolean silent, boolean lettingGo) {
+        connection.partialUs = connection.partialUs > 0 ? connection.partialUs : connection.asked == 0 ? connection.idleUs : nowUs;
+        boolean within = connection.reader.within();
+        boolean late = nowUs - connection.partialUs > (within ? BODY_US : silent ? BRING_US : HEAD_US)
+                || within && nowUs - Math.max(connection.movedUs, connection.partialUs) > BRING_US;
+        if (silent && (late || lettingGo && nowUs - connection.idleUs > NEW_US)) {
+            part(connection);
         } else if (late) {
-            reject(link, Message.answer(408, "the request did not come whole in time"));
+            reject(connection, Message.answer(408, "the request did not come whole in time"));
         }
     }
 }
--- a/sidecar/src/main/java/dillcross/net/Message.java
+++ b/sidecar/src/main/java/dillcross/net/Message.java
@@ -9,9 +9,9 @@
 
 /**
  * One HTTP message: the three parts of its first line, its fields by lower-case name, its body. Of a body too large to be
- * held these are the first bytes; {@code rest} more, or {@code UNKNOWN}, follow on the link that it comes {@code from}.
+ * held these are the first bytes; {@code rest} more, or {@code UNKNOWN}, follow on the connection that it comes {@code from}.
  */
-record Message(String first, String second, String third, Map<String, String> fields, byte[] body, long rest, Link from) {
+record Message(String first, String second, String third, Map<String, String> fields, byte[] body, long rest, Connection from) {
     static final byte[] NOTHING = {};
     static final long UNKNOWN = -1;
     static final long TO_THE_END = -2; // of the connection, which ends it: for those who know no chunks
@@ -43,7 +43,7 @@
         return new Message(first, second, third, fields, body, rest == UNKNOWN && asked.old() ? TO_THE_END : rest, from);
     }
 
-    Message flowing(Link on) {
+    Message flowing(Connection on) {
         return new Message(first, second, third, fields, body, rest, on);
     }
 
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -331,7 +331,7 @@
         } else if (order instanceof Order.Pass pass) {
             Listener.Caller caller = (Listener.Caller) pass.client();
             Message answer = (Message) pass.content();
-            endpoints.passOn(answer, caller.link(), listener.pass(caller, answer));
+            endpoints.passOn(answer, caller.connection(), listener.pass(caller, answer));
         } else if (order instanceof Order.Passed passed) {
             listener.passed((Listener.Caller) passed.client(), passed.whole());
         } else if (order instanceof Order.Reject reject) {
--- a/sidecar/src/main/java/dillcross/net/Stream.java
+++ b/sidecar/src/main/java/dillcross/net/Stream.java
@@ -1,11 +1,11 @@
 package dillcross.net;
 
 /**
- * The rest of a body that is too large to be held: from one link's ring to the other's as it comes, and no faster than the
+ * The rest of a body that is too large to be held: from one connection's ring to the other's as it comes, and no faster than the
  * other side takes it. What comes meanwhile waits in the first ring, which then stops reading.
  */
 final class Stream {
-    /** Whoever reads the link that it comes from. */
+    /** Whoever reads the connection that it comes from. */
     interface Owner {
         /** Bytes were let go, so the body can't be passed on a second time. */
         void letGo();
@@ -20,13 +20,13 @@
     private static final byte[] LINE = {'\r', '\n'};
     private static final byte[] LAST = {'0', '\r', '\n', '\r', '\n'};
 
-    private final Link from;
-    private final Link to;
+    private final Connection from;
+    private final Connection to;
     private final boolean chunks; // as which it is written
     private final Owner owner;
     private boolean over;
 
-    Stream(Link from, Link to, boolean chunks, Owner owner) {
+    Stream(Connection from, Connection to, boolean chunks, Owner owner) {
         this.from = from;
         this.to = to;
         this.chunks = chunks;
--- a/sidecar/src/main/java/dillcross/net/Wire.java
+++ b/sidecar/src/main/java/dillcross/net/Wire.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-/** One connection as its link sees it, below the rings. */
+/** One connection as its connection sees it, below the rings. */
 public interface Wire {
     /** Who waits for bytes to be taken over. */
     interface Sent {
