The planted lost wake-up is looked for where reading pauses

Cause: up to 512 KiB of a body are read now while its push waits, so with bodies of 150 KB nothing pauses there, and the fault has nothing to break.

--- a/emulator/src/test/java/dillcross/emulator/PlantedTest.java
+++ b/emulator/src/test/java/dillcross/emulator/PlantedTest.java
@@ -36,7 +36,7 @@
             fault("a cold endpoint overrun", "Logic.java", "return s.flying < 1 + s.coldAnswers && s.sent + 1 <= budget + s.lot;", "return s.sent < budget + 1e9;", "COLD_KEPT", "cold.toml"),
             fault("a leaked connection", "net/Endpoints.java", "connections.remove(connection); // one that never came up is not reported as closed\n        connection.close();",
                 "connections.remove(connection);", "BACK_TO_REST WITHIN_LIMITS"),
-            fault("a lost wake-up", "net/Connection.java", "paused = false;\n            try {\n                wire.tells(true);", "try {\n                wire.tells(false);", "ONE_ANSWER BACK_TO_REST"),
+            fault("a lost wake-up", "net/Connection.java", "paused = false;\n            try {\n                wire.tells(true);", "try {\n                wire.tells(false);", "ONE_ANSWER BACK_TO_REST", "pauses.toml"),
             fault("a broken push taken for one that never ran", "sidecar/Ending.java", "case BROKEN -> reach == Reach.WHOLE_WRITTEN ? Outcome.RESET : Outcome.CONNECT_FAILED;",
                 "case BROKEN -> Outcome.CONNECT_FAILED;", "NO_EFFECT_TWICE"),
             fault("an answer for another op", "net/Endpoints.java", "if (known && (unused || whole) && !connection.ended) {", "if (known && (unused || whole || kind == Ending.Kind.GIVEN_UP) && !connection.ended) {",
--- a/emulator/src/test/java/dillcross/emulator/SweepTest.java
+++ b/emulator/src/test/java/dillcross/emulator/SweepTest.java
@@ -58,7 +58,7 @@
 
     @Test
     void calmOverloadColdAndCopies() throws Faulty, InterruptedException {
-        for (String name : List.of("calm", "overload", "cold", "copies", "partition", "anew", "bodies", "news", "gone", "throng-5")) {
+        for (String name : List.of("calm", "overload", "cold", "copies", "partition", "anew", "bodies", "news", "gone", "throng-5", "pauses")) {
             clean(SCENARIOS.resolve(name + ".toml"), 40);
         }
         Day.Result calm = Day.play(ScenarioReader.read(SCENARIOS.resolve("calm.toml")), 1);
