After a call that discovery turned away pauses grow again, as before

Logs of herd: of 64 processes killed and started again none had the list within nine seconds, each first turned away after 2 s. Cause: all pauses were 0.12 to 0.35 s (ListRule.pauseUs), so those that had to wait came again at once and kept the queue full. It is what the growing pauses had been for.

--- a/emulator/src/main/java/dillcross/emulator/world/Instance.java
+++ b/emulator/src/main/java/dillcross/emulator/world/Instance.java
@@ -116,7 +116,7 @@
         Scenario.Fleet is = world.scenario().sidecars();
         Given given = given();
         Given limits = Given.pairs(Map.of("limits.memory_mb", String.valueOf(is.memoryMb())));
-        Core core = new Core(given.instance(chance.named("start " + starts).any(), true, Node.MOST_PAUSE_US));
+        Core core = new Core(given.instance(chance.named("start " + starts).any(), true));
         Roster known = Roster.of(list.known());
         core.list(world.now(), known.version(), true, known.entries(), false);
         list.knows(process());
@@ -234,7 +234,7 @@
             listAt = listAt.equals(Directory.ADDRESS) ? Directory.OTHER_ADDRESS : Directory.ADDRESS;
             node.look();
             node.moveDiscovery(listAt);
-            node.settings((logic, nowUs) -> given.tell(logic, nowUs, true, Node.MOST_PAUSE_US), given.categories(), given.mostTtlUs(), given.connectUs(), given.keepUs());
+            node.settings((logic, nowUs) -> given.tell(logic, nowUs, true), given.categories(), given.mostTtlUs(), given.connectUs(), given.keepUs());
             network.wake();
         }
     }
--- a/sidecar/src/main/java/dillcross/Logic.java
+++ b/sidecar/src/main/java/dillcross/Logic.java
@@ -372,12 +372,12 @@
         return servers.containsKey(endpoint) && servers.get(endpoint).listed;
     }
 
-    /** A call to the list failed, or its subscription broke. */
-    public void listFailed(long nowUs) {
+    /** A call to the list failed, or its subscription broke; it is asked again so soon, times 0.5 to 1.5. */
+    public void listFailed(long nowUs, long mostUs) {
         now = nowUs;
         // All must not call an unreachable list at once: waits grow, jittered, within the time to be deaf.
-        long wait = Math.min(listRule.pauseUs(), 500_000L << Math.min(listFailures++, 3));
-        listenUs = now + (long) (wait * (0.5 + random.nextDouble()));
+        long wait = Math.min(listRule.askWithinUs() / 3, 500_000L << Math.min(listFailures++, 3));
+        listenUs = now + (long) (Math.min(wait, mostUs) * (0.5 + random.nextDouble()));
     }
 
     /** An op has come in. */
--- a/sidecar/src/main/java/dillcross/cli/Serve.java
+++ b/sidecar/src/main/java/dillcross/cli/Serve.java
@@ -57,7 +57,7 @@
         admin(read);
         known(read);
         Given settings = read.below("settings");
-        settings.instance(read.seed(), ASKS, Node.MOST_PAUSE_US);
+        settings.instance(read.seed(), ASKS);
         settings.subscribes();
         settings.mostTtlUs();
         settings.connectUs();
@@ -86,7 +86,7 @@
         onHangUp(reloads::release); // before all else: unhandled, it would end the program
         Given settings = given.below("settings");
         LongSupplier clock = clock(shiftUs);
-        Core core = new Core(settings.instance(given.seed(), ASKS, Node.MOST_PAUSE_US));
+        Core core = new Core(settings.instance(given.seed(), ASKS));
         Roster known = known(given);
         if (known != null) {
             core.list(clock.getAsLong(), known.version(), true, known.entries(), false);
@@ -101,7 +101,7 @@
             node.asksFirst();
         }
         node.open(admin(given));
-        Rehearsal.run(settings.instance(0, ASKS, Node.MOST_PAUSE_US), settings.categories());
+        Rehearsal.run(settings.instance(0, ASKS), settings.categories());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 node.stop();
@@ -139,7 +139,7 @@
                 }
                 if (changed) {
                     Given settings = next.below("settings");
-                    node.settings((logic, nowUs) -> settings.tell(logic, nowUs, ASKS, Node.MOST_PAUSE_US), settings.categories(),
+                    node.settings((logic, nowUs) -> settings.tell(logic, nowUs, ASKS), settings.categories(),
                             settings.mostTtlUs(), settings.connectUs(), settings.keepUs());
                 }
             });
--- a/sidecar/src/main/java/dillcross/config/Given.java
+++ b/sidecar/src/main/java/dillcross/config/Given.java
@@ -135,16 +135,16 @@
                 && below(path).values.equals(other.below(path).values);
     }
 
-    /** A module with these settings; {@code asks} where the list tells nothing unasked, after a failure again within that time. */
-    public Logic instance(long seed, boolean asks, long mostPauseUs) {
+    /** A module with these settings; {@code asks} where the list tells nothing unasked. */
+    public Logic instance(long seed, boolean asks) {
         return new Logic(seed, zone(), me(), sidecars(), categories(), tenants(), cold(), pushes(), byWork(),
-                list(asks, mostPauseUs), mostRetryAfterUs(), crossingPrice(), goal());
+                list(asks), mostRetryAfterUs(), crossingPrice(), goal());
     }
 
     /** Has a module that runs take these settings on; {@code asks} as above. */
-    public void tell(Logic logic, long nowUs, boolean asks, long mostPauseUs) {
+    public void tell(Logic logic, long nowUs, boolean asks) {
         logic.settings(nowUs, zone(), me(), sidecars(), categories(), tenants(), cold(), pushes(), byWork(),
-                list(asks, mostPauseUs), mostRetryAfterUs(), crossingPrice(), goal());
+                list(asks), mostRetryAfterUs(), crossingPrice(), goal());
     }
 
     /** Whether the list has to be asked for news, as far as the settings say. */
@@ -192,9 +192,8 @@
         return word("benefit_basis", "request", "work").equals("work");
     }
 
-    private ListRule list(boolean asks, long mostPauseUs) {
-        long withinUs = micros("rules.ask_within_ms", 5000);
-        return new ListRule(asks, withinUs, Math.min(withinUs / 3, mostPauseUs * 2 / 3), flag("rules.dropped_stay_open"), liveWeights());
+    private ListRule list(boolean asks) {
+        return new ListRule(asks, micros("rules.ask_within_ms", 5000), flag("rules.dropped_stay_open"), liveWeights());
     }
 
     private Goal goal() {
--- a/sidecar/src/main/java/dillcross/net/Node.java
+++ b/sidecar/src/main/java/dillcross/net/Node.java
@@ -20,8 +20,6 @@
 /** The running sidecar: the parts that the network's one thread works for, and their turns. */
 public final class Node implements Network.Turns {
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
-    /** The longest that the module may wait before the list is asked for once more. */
-    public static final long MOST_PAUSE_US = Discovery.MOST_PAUSE_US;
     private static final long MOST_REHEARSAL_US = 1_000_000;
     private static final long FIRST_LIST_US = 3_000_000; // from the start, that a process may wait for its first list
     private static final int MOST_TRACES = 20;
--- a/sidecar/src/main/java/dillcross/sidecar/Core.java
+++ b/sidecar/src/main/java/dillcross/sidecar/Core.java
@@ -130,9 +130,9 @@
         return heard;
     }
 
-    /** The list can't be had, or a watch of it broke. */
-    public void listFailed(long nowUs) {
-        logic.listFailed(nowUs);
+    /** The list can't be had, or a watch of it broke; it is asked again after that time at the most, times 0.5 to 1.5. */
+    public void listFailed(long nowUs, long pauseUs) {
+        logic.listFailed(nowUs, pauseUs);
     }
 
     /**
