--- a/sidecar/src/main/java/dillcross/Logic.java
+++ b/sidecar/src/main/java/dillcross/Logic.java
@@ -38,7 +38,7 @@
     private static final double HELD = 1.5; // times its part of the bound that one endpoint may hold
     private static final double ANSWERS = 10; // in the span over which means are taken, at the least
     private static final double QUEUE = 3.6; // times what is in flight without a queue, while calm
-    private static final double SLOWEST = 2; // times calm that one answer counts: few that hang are no queue of all
+    private static final double SLOWEST = 2; // times calm that one answer counts: few that hang are no queue
     private static final double REPEAT = 0.4; // of a first try's part of the bound, for a repeat
     private static final long UNUSED_US = 2_000_000; // before connections to what is not in use are let go
     private static final double RENEWAL = 0.2; // of a renewed weight in what an endpoint seems to hold
