emulate crossings: every pair of kinds of event at the moments of an op's life, and triples

The emulator can bring them. Over ops of every effect, with copies and cancel allowed and not. What breaks a rule is written as a scenario, with the line that replays it.

--- a/emulator/src/main/java/dillcross/emulator/cli/Commands.java
+++ b/emulator/src/main/java/dillcross/emulator/cli/Commands.java
@@ -49,7 +49,7 @@
 
         @Override
         public void run() {
-            throw new CommandLine.ParameterException(spec.commandLine(), "Missing command: run, sweep, shrink or explain");
+            throw new CommandLine.ParameterException(spec.commandLine(), "Missing command: run, sweep, shrink, explain, crossings or members");
         }
 
         @Command(name = "run", mixinStandardHelpOptions = true, description = "Play one day and say what became of it.")
@@ -143,6 +143,19 @@
             return Trial.table(members, named.from(), named.to(), faults, cores, System.out::println) ? CLEAN : BROKEN;
         }
 
+        @Command(name = "crossings", mixinStandardHelpOptions = true, description = "Play every ordered pair of kinds of event at moments of one op's life; then triples, drawn by seed.")
+        int crossings(@Parameters(paramLabel = "SCENARIO", arity = "0..*", description = "Without troubles (default: scenarios/crossings.toml and crossings-strict.toml).") List<Path> files,
+                @Option(names = "--pairs", paramLabel = "A,B", description = "This pair only, in this order (a kind, or one with its mode: resets-before).") String pair,
+                @Option(names = "--triples", paramLabel = "A..B", description = "So many triples, drawn by these numbers, and no pairs.") String triples,
+                @Option(names = "--brief", description = "Each pair once, at moments and distances by turns.") boolean brief,
+                @Option(names = "--seed", defaultValue = "1", paramLabel = "N") long seed,
+                @Option(names = "--out", paramLabel = "DIR", description = "Write there what breaks a rule, as scenarios.") Path out,
+                @Option(names = "--jobs", paramLabel = "J") Integer jobs) throws InterruptedException, IOException, Faulty {
+            List<Path> scenarios = files == null ? List.of(Path.of("scenarios/crossings.toml"), Path.of("scenarios/crossings-strict.toml")) : files;
+            return new CrossingsRun(scenarios, pair, triples == null ? null : Seeds.of(triples, 9), brief, seed, out,
+                    jobs == null ? Runtime.getRuntime().availableProcessors() : Math.max(1, jobs)).run(System.out, System.err) ? CLEAN : BROKEN;
+        }
+
         @Command(name = "explain", mixinStandardHelpOptions = true, description = "Tell the story of one op.")
         int explain(@Parameters(paramLabel = "SCENARIO") Path file, @Option(names = "--seed", required = true, paramLabel = "N") long seed,
                 @Option(names = "--op", paramLabel = "ID", description = "Which (default: the first that broke a rule).") String op) throws Faulty {
--- a/emulator/src/main/java/dillcross/emulator/run/Shrink.java
+++ b/emulator/src/main/java/dillcross/emulator/run/Shrink.java
@@ -117,8 +117,13 @@
     public static String write(String text, Result result) {
         StringBuilder out = new StringBuilder();
         out.append(String.format(Locale.ROOT, "# Cut by `emulate shrink` from %d troubles; with --seed %d it breaks: %s.%n", result.before(), result.seed(), result.rule().words));
-        out.append(ScenarioReader.withoutTroubles(text).replaceFirst("(?m)^seconds *=.*$", "seconds = " + result.seconds()).stripTrailing());
-        for (Drawn drawn : result.troubles()) {
+        return out.append(write(text.replaceFirst("(?m)^seconds *=.*$", "seconds = " + result.seconds()), result.troubles())).toString();
+    }
+
+    /** The text of a scenario with these troubles, fixed, in place of its own. */
+    public static String write(String text, List<Drawn> troubles) {
+        StringBuilder out = new StringBuilder(ScenarioReader.withoutTroubles(text).stripTrailing());
+        for (Drawn drawn : troubles) {
             Trouble is = drawn.from();
             out.append(String.format(Locale.ROOT, "%n%n[[trouble]]%nid = \"%s\"%nkind = \"%s\"%nat_ms = %s%nfor_ms = %s%ntarget = \"%s\"%nfactor = %s%nshare = %s%nmode = \"%s\"",
                     is.id(), is.kind().word(), drawn.atUs() / 1000.0, drawn.forUs() / 1000.0, drawn.target(), drawn.factor(), is.share(), is.mode()));
--- a/emulator/src/test/java/dillcross/emulator/EmulateIT.java
+++ b/emulator/src/test/java/dillcross/emulator/EmulateIT.java
@@ -70,6 +70,39 @@
         assertEquals("status 2", last(dillcross()));
     }
 
+    /** Every ordered pair of kinds of event, once on each scenario, and some triples: clean, the same each time, and counted. */
+    @Test
+    void eventsThatCrossBreakNoRule() throws IOException, InterruptedException {
+        String[] files = {"../scenarios/crossings.toml", "../scenarios/crossings-strict.toml"};
+        List<String> pairs = dillcross("crossings", files[0], files[1], "--brief");
+        int kinds = dillcross.emulator.run.Crossings.events().size();
+        assertEquals("status 0", last(pairs), pairs.toString());
+        assertEquals("crossings " + 2 * kinds * kinds + " violations 0", pairs.get(pairs.size() - 2));
+        List<String> triples = dillcross("crossings", files[0], files[1], "--triples", "1..150", "--jobs", "2");
+        assertEquals("status 0", last(triples), triples.toString());
+        assertEquals("crossings 300 violations 0", triples.get(triples.size() - 2));
+        List<String> again = dillcross("crossings", files[0], files[1], "--triples", "1..150");
+        assertEquals(triples.get(triples.size() - 3), again.get(again.size() - 3), "the digest of all of its days");
+    }
+
+    @Test
+    void aCrossingThatBreaksARuleIsToldWithWhatReplaysIt() throws IOException, InterruptedException {
+        Path strict = Files.writeString(folder.resolve("strict.toml"), Files.readString(Path.of("../scenarios/crossings.toml")) + "\n[rules]\ncold_slack = 0.02\n");
+        Path out = folder.resolve("out");
+        List<String> found = dillcross("crossings", strict.toString(), "--pairs", "die,kill", "--out", out.toString());
+        assertEquals("status 1", last(found));
+        String replay = found.stream().filter(line -> line.startsWith("    bin/dillcross emulate run ")).findFirst().orElseThrow();
+        String[] words = replay.strip().split(" ");
+        assertEquals("status 1", last(dillcross("run", words[3], "--seed", words[5])));
+        assertEquals("status 1", last(dillcross("shrink", words[3], "--seed", words[5])));
+        List<String> wrong = dillcross("crossings", strict.toString(), "--pairs", "die,nothing");
+        assertTrue(wrong.get(0).startsWith("dillcross: --pairs knows no nothing; known are die, vanish"), wrong.toString());
+        assertEquals("status 2", last(wrong));
+        assertEquals("status 2", last(dillcross("crossings", strict.toString(), "--pairs", "die")));
+        assertEquals(List.of("../scenarios/cold.toml: has troubles of its own, and crossings brings them", "status 2"), dillcross("crossings", "../scenarios/cold.toml"));
+        assertEquals("status 2", last(dillcross("crossings", folder.resolve("none.toml").toString())));
+    }
+
     @Test
     void aDayThatBreaksARuleIsFoundCutAndExplained() throws IOException, InterruptedException {
         Path strict = Files.writeString(folder.resolve("strict.toml"), Files.readString(Path.of("../scenarios/cold.toml"))
