--- a/emulator/src/test/java/dillcross/emulator/PlantedTest.java
+++ b/emulator/src/test/java/dillcross/emulator/PlantedTest.java
@@ -30,7 +30,7 @@
             fault("a repeat into another group", "Logic.java", "p.to.is.zone().equals(s.is.zone())", "true", "NO_EFFECT_TWICE"),
             fault("a push after the answer", "net/Endpoints.java", "if (core.sendable(clock.getAsLong(), push.op(), push.push())) {", "if (waited != null) {", "NOTHING_AFTER DRAIN_KEPT", "anew.toml"),
             fault("a push to a drained endpoint", "Logic.java", "            s.listed = up || stays;", "            s.listed = up || stays || s.listed && e.health() == Endpoint.Health.DRAINING;", "DRAIN_KEPT"),
-            fault("a watch that falls silent unnoticed", "net/Discovery.java", "GRACE_US = TOLD_US / 8;", "GRACE_US = TOLD_US * 2;", "DRAIN_KEPT", "news.toml"),
+            fault("a watch that falls silent unnoticed", "net/Discovery.java", "GRACE_US = TOLD_US / 10;", "GRACE_US = TOLD_US * 2;", "DRAIN_KEPT", "news.toml"),
             fault("pauses that grow while the list is out", "Logic.java", "Math.min(wait, mostUs)", "(4_000_000 + 0 * mostUs)", "DRAIN_KEPT", "news.toml"),
             fault("a client that has gone, unnoticed", "sidecar/Core.java", "if (op != null && !op.over) {\n            logic.left(nowUs, id);", "if (op != null && op.over) {\n            logic.left(nowUs, id);", "NOTHING_AFTER", "gone.toml"),
             fault("a cold endpoint overrun", "Logic.java", "return s.flying < 1 + s.coldAnswers && s.sent + 1 <= budget + s.lot;", "return s.sent < budget + 1e9;", "COLD_KEPT", "cold.toml"),
