The crossing that has to be found is one that breaks a rule

Seen: EmulateIT.aCrossingThatBreaksARuleIsToldWithWhatReplaysIt failed at its first run: its scenario asked for a cold slack below what may be named. Now turns of 20 ms and no slack for answers: silence, then slow, breaks the TTL; replayed and cut.

--- a/emulator/src/test/java/dillcross/emulator/EmulateIT.java
+++ b/emulator/src/test/java/dillcross/emulator/EmulateIT.java
@@ -87,9 +87,10 @@
 
     @Test
     void aCrossingThatBreaksARuleIsToldWithWhatReplaysIt() throws IOException, InterruptedException {
-        Path strict = Files.writeString(folder.resolve("strict.toml"), Files.readString(Path.of("../scenarios/crossings.toml")) + "\n[rules]\ncold_slack = 0.02\n");
+        Path strict = Files.writeString(folder.resolve("strict.toml"), Files.readString(Path.of("../scenarios/crossings.toml"))
+                .replace("start_ms = [50, 200]", "start_ms = [50, 200]\nturn_us = 20000") + "\n[rules]\nanswer_slack_ms = 0\n"); // a turn too late breaks a rule
         Path out = folder.resolve("out");
-        List<String> found = dillcross("crossings", strict.toString(), "--pairs", "die,kill", "--out", out.toString());
+        List<String> found = dillcross("crossings", strict.toString(), "--pairs", "silence,slow", "--out", out.toString());
         assertEquals("status 1", last(found));
         String replay = found.stream().filter(line -> line.startsWith("    bin/dillcross emulate run ")).findFirst().orElseThrow();
         String[] words = replay.strip().split(" ");
