--- a/review/standin/Kit.java
+++ b/review/standin/Kit.java
@@ -337,7 +337,7 @@
 
     void signal(String name) throws IOException {
       log("SIG%s to the sidecar", name);
-      new ProcessBuilder("/bin/kill", "-" + name, String.valueOf(process.pid())).start();
+      new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start();
     }
 
     /** Resident memory in MB; -1 if the process has ended. */
