--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here=$(cd "$(dirname "$0")" && pwd)
-exec sh "$here/../run-case.sh" "$here" MemoryLimit
+exec sh "$here/../run-case.sh" "$here" HalfBodies
