--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -17,10 +17,7 @@
  * that opened or accepted it. Belongs to the selector thread.
  */
 public final class Connection implements Network.ConnectionHandler, TransportChannel.WriteCallback {
-  private static final int MAX_DISCARDED_BYTES = 1 << 20; // input after the last response
   private static final int MAX_PIPELINED_BYTES = 512 << 10; // input that follows an open request
-  private static final ByteBuffer DISCARDED =
-      ByteBuffer.allocate(32 << 10); // shared by all connections, as nothing reads it
 
   private final TransportChannel channel;
   private final MessageHandler handler;
@@ -37,8 +34,7 @@
   private Collection<Connection> pool; // the idle connections that it last joined; null if none
   private boolean closesAfterResponse;
   private boolean isClosing; // closed once all output is written
-  private long maxDiscardedBytes = MAX_DISCARDED_BYTES;
-  private long discardedBytes; // input that was read and discarded
+  private final InputDiscarder discarder = new InputDiscarder();
   private boolean isPaused; // reading is paused until the input buffer has space
   private boolean hasOverrun; // more input followed an open request than may be buffered
   private boolean isConnected;
@@ -242,19 +238,12 @@
     return hasOverrun;
   }
 
-  /**
-   * Reads and discards input after the last response, because a close with unread input would reset
-   * the connection and destroy the response. The amount is limited, so that a large upload does not
-   * take the thread's time.
-   *
-   * @return whether no more input is to be read
-   */
+  /** Discards input after the last response; returns whether no more of it is to be read. */
   private boolean discardInput() throws IOException {
     in.clear();
-    int readCount = channel.read(DISCARDED.clear());
-    discardedBytes += Math.max(0, readCount);
+    int readCount = discarder.read(channel);
     activity.countBytes(Math.max(0, readCount));
-    return readCount < 0 || (isClosing && discardedBytes > maxDiscardedBytes);
+    return readCount < 0 || (isClosing && discarder.isOverLimit());
   }
 
   /**
@@ -269,7 +258,7 @@
       hasOverrun = true;
       in.clear();
     }
-    if (isInputFull() || (hasOverrun && discardedBytes > maxDiscardedBytes) || hasInputEnded) {
+    if (isInputFull() || (hasOverrun && discarder.isOverLimit()) || hasInputEnded) {
       isPaused = true; // set also if paused already: the transport may have enabled reads again
       setReadInterest(false);
     }
@@ -316,15 +305,15 @@
    * the connection after the answer. At most {@code maxBytes} are read.
    */
   public void discardRest(long maxBytes) {
-    maxDiscardedBytes = maxBytes;
-    isClosing = true;
-    in.clear();
-    resumeReading();
+    discarder.limitTo(maxBytes);
+    discardRest();
   }
 
   /** As {@link #discardRest(long)}, with the limit of its last call; 1 MiB if there was none. */
   public void discardRest() {
-    discardRest(maxDiscardedBytes);
+    isClosing = true;
+    in.clear();
+    resumeReading();
   }
 
   // Output
