--- a/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
+++ b/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
@@ -63,7 +63,7 @@
   private void forward(NetworkCommand.ForwardResponse command) {
     ClientListener.Caller caller = caller(command.client());
     HttpResponse response = (HttpResponse) command.content();
-    listener.respond(caller, response.forwardedTo(caller.request()));
+    listener.respond(caller, response.forwarded(caller.isHttp10()));
   }
 
   private void startStreaming(NetworkCommand.StartStreaming command) {
--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -361,7 +361,7 @@
    * @param timers timers of the coordinator that are set
    * @param attempts attempts in flight
    * @param openRequests requests that wait for their response
-   * @param bufferBytes bytes that are taken from the memory budget of buffers
+   * @param bufferBytes bytes that are taken from the memory budget
    * @param failedIterations iterations of the event loop that have failed since the start
    */
   public record Usage(
--- a/sidecar/src/main/java/dillcross/net/WarmUp.java
+++ b/sidecar/src/main/java/dillcross/net/WarmUp.java
@@ -38,7 +38,8 @@
   private static final byte[] BODY = new byte[100];
 
   private final RequestCoordinator coordinator;
-  private final RingBuffer buffer = new RingBuffer(BUFFER_BYTES, new MemoryBudget(BUDGET_BYTES));
+  private final MemoryBudget budget = new MemoryBudget(BUDGET_BYTES);
+  private final RingBuffer buffer = new RingBuffer(BUFFER_BYTES, budget);
 
   private WarmUp(RequestCoordinator coordinator) {
     this.coordinator = coordinator;
@@ -91,6 +92,9 @@
   private HttpMessage encodeAndParse(HttpMessage message, boolean isRequest) {
     buffer.add(message.encode());
     int maxBytes = HttpMessageParser.MAX_BUFFERED_BODY_BYTES;
-    return new HttpMessageParser(isRequest, maxBytes, maxBytes).parse(buffer, false).orElseThrow();
+    HttpMessageParser parser = new HttpMessageParser(isRequest, maxBytes, maxBytes, budget);
+    HttpMessage parsed = parser.parse(buffer, false).orElseThrow();
+    parser.release();
+    return parsed;
   }
 }
--- a/sidecar/src/main/java/dillcross/net/buffer/MemoryBudget.java
+++ b/sidecar/src/main/java/dillcross/net/buffer/MemoryBudget.java
@@ -1,8 +1,9 @@
 package dillcross.net.buffer;
 
 /**
- * A limit on the bytes that all buffers take together, so that many large messages can't use up the
- * heap.
+ * Owns all bytes that are held for peers, and limits them, so that many large messages can't use up
+ * the heap: ring buffers beyond their initial size, collected bodies, and requests that wait for
+ * their response.
  */
 public final class MemoryBudget {
   private final long maxBytes;
@@ -22,6 +23,11 @@
     return fits;
   }
 
+  /** Takes {@code bytes} from the budget, even if fewer are left. */
+  void take(int bytes) {
+    taken += bytes;
+  }
+
   void giveBack(int bytes) {
     taken -= bytes;
   }
@@ -31,7 +37,7 @@
     return taken < maxBytes / 2;
   }
 
-  /** The number of bytes that buffers have taken and not given back. */
+  /** The number of bytes that were taken and not given back. */
   public long taken() {
     return taken;
   }
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -57,14 +57,24 @@
   private Map<String, RequestClass> requestClasses = Map.of();
   private long maxTimeoutUs; // longer request timeouts are cut to this
 
-  /** The receiver of a response: the connection on which the request arrived, and the request. */
-  public record Caller(Connection connection, HttpRequest request) {}
+  /**
+   * The receiver of a response: the connection on which the request arrived, and what of the
+   * request decides how the response is written.
+   *
+   * @param isHttp10 whether the client uses HTTP/1.0
+   * @param keepsAlive whether the client keeps the connection open
+   */
+  public record Caller(Connection connection, boolean isHttp10, boolean keepsAlive) {
+    static Caller of(Connection connection, HttpRequest request) {
+      return new Caller(connection, request.isHttp10(), request.keepsAlive());
+    }
+  }
 
   /**
    * A connection's exchange: the request that waits for its response, by the coordinator's id and
    * by the client's.
    */
-  private record PendingRequest(long requestId, String clientId) {}
+  private record PendingRequest(long requestId, String clientId, InboundRequest inbound) {}
 
   /**
    * A listener with no connections.
@@ -124,8 +134,7 @@
   public void onClosed(Connection connection) {
     connections.remove(connection);
     if (connection.exchange() instanceof PendingRequest pending) {
-      connection.endExchange();
-      openIds.remove(pending.clientId());
+      endExchange(connection);
       coordinator.onClientDisconnected(clock.getAsLong(), pending.requestId());
     }
     connections.resumeAccepting();
@@ -141,8 +150,7 @@
     if (request.path().equals(AdminPaths.HEALTH)) {
       boolean isHealthy = lifecycle.isHealthy();
       respond(
-          connection,
-          request,
+          Caller.of(connection, request),
           HttpResponse.text(
               isHealthy ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE,
               isHealthy ? "ready" : "not ready"));
@@ -190,17 +198,27 @@
     long requestedUs = Math.min(maxTimeoutUs, requestedMs * MICROS_PER_MILLI);
     long timeoutUs = lifecycle.limitTimeout(requestedUs, maxTimeoutUs, clock.getAsLong());
     openIds.add(clientId);
+    InboundRequest inbound = new InboundRequest(request, connection);
     IncomingRequest incoming =
         new IncomingRequest(
-            new Caller(connection, request),
-            new InboundRequest(request, connection),
+            Caller.of(connection, request),
+            inbound,
             request.field(HeaderNames.TENANT),
             requestClass.name(),
             timeoutUs,
             HeaderNames.FLAG_SET.equals(request.field(HeaderNames.CLIENT_RETRY)),
             request.isStreaming());
     long requestId = coordinator.onRequest(clock.getAsLong(), incoming);
-    connection.beginExchange(new PendingRequest(requestId, clientId));
+    connection.beginExchange(new PendingRequest(requestId, clientId, inbound));
+  }
+
+  /** Ends the exchange of a connection, if there is one, and drops its request. */
+  private void endExchange(Connection connection) {
+    if (connection.exchange() instanceof PendingRequest pending) {
+      openIds.remove(pending.clientId());
+      pending.inbound().drop();
+    }
+    connection.endExchange();
   }
 
   // Responses
@@ -214,20 +232,16 @@
 
   /** Sends a client its complete response. */
   public void respond(Caller caller, HttpResponse response) {
-    caller.connection().endExchange();
-    openIds.remove(caller.request().field(HeaderNames.REQUEST_ID));
-    respond(caller.connection(), caller.request(), response);
-  }
-
-  private void respond(Connection connection, HttpRequest request, HttpResponse response) {
+    Connection connection = caller.connection();
+    endExchange(connection);
     connections.markIdle(connection);
-    if (closesAfter(connection, request)) {
+    if (closesAfter(caller)) {
       connection.closeAfterNextMessage();
     }
     if (connection.parser().isStreaming()) {
       connection.discardRest(maxBody); // the request's body is still arriving
     }
-    if (!connection.isClosing() && request.isHttp10()) {
+    if (!connection.isClosing() && caller.isHttp10()) {
       response.fields().put(HeaderNames.CONNECTION, HeaderNames.CONNECTION_KEEP_ALIVE);
     }
     send(connection, response);
@@ -239,10 +253,11 @@
    * with a single request so far closes too. The response announces the close, so that the client
    * does not send another request at the same moment.
    */
-  private boolean closesAfter(Connection connection, HttpRequest request) {
+  private boolean closesAfter(Caller caller) {
+    Connection connection = caller.connection();
     boolean isLeastUsed = connections.areScarce() && connection.activity().requestCount() <= 1;
     return lifecycle.closesConnections()
-        || !request.keepsAlive()
+        || !caller.keepsAlive()
         || isLeastUsed
         || connection.hasOverrun();
   }
@@ -262,10 +277,10 @@
    * rest has to be written in chunks.
    */
   public boolean startStreaming(Caller caller, HttpResponse response) {
-    HttpResponse head = response.forwardedTo(caller.request());
+    HttpResponse head = response.forwarded(caller.isHttp10());
     Connection connection = caller.connection();
     boolean untilClose = head.remainingBytes() == HttpMessage.UNTIL_CLOSE;
-    connection.beginResponse(untilClose || closesAfter(connection, caller.request()));
+    connection.beginResponse(untilClose || closesAfter(caller));
     if (connection.closesAfterResponse()) {
       head.announceClose();
     }
@@ -279,10 +294,9 @@
    */
   public void finishStreaming(Caller caller, boolean complete) {
     Connection connection = caller.connection();
-    connection.endExchange();
-    openIds.remove(caller.request().field(HeaderNames.REQUEST_ID));
+    endExchange(connection);
     connections.markIdle(connection);
-    if (!complete && connection.closesAfterResponse() && caller.request().isHttp10()) {
+    if (!complete && connection.closesAfterResponse() && caller.isHttp10()) {
       connection.reset();
     } else if (!complete || connection.closesAfterResponse()) {
       connection.closeAfterOutput();
@@ -336,8 +350,7 @@
       Connection connection, PendingRequest pending, long nowUs, long stalledUs) {
     boolean isBodyIncomplete = connection.parser().isStreaming();
     if (isBodyIncomplete && !connection.isPaused() && stalledUs > STALL_TIMEOUT_US) {
-      connection.endExchange();
-      openIds.remove(pending.clientId());
+      endExchange(connection);
       coordinator.onClientDisconnected(nowUs, pending.requestId());
       rejectAndClose(
           connection, HttpResponse.text(HttpStatus.REQUEST_TIMEOUT, "the request stopped coming"));
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -66,7 +66,7 @@
     standardWindow = 2 * maxBufferedBody;
     in = new RingBuffer(isServerSide ? MAX_PIPELINED_BYTES : standardWindow, budget);
     out = new RingBuffer(2 * HttpMessageParser.MAX_BUFFERED_BODY_BYTES, budget);
-    parser = new HttpMessageParser(isServerSide, maxBufferedBody, maxBody);
+    parser = new HttpMessageParser(isServerSide, maxBufferedBody, maxBody, budget);
   }
 
   @Override
@@ -148,9 +148,10 @@
     exchange = newExchange;
   }
 
-  /** Ends the exchange, so that the next message may be read. */
+  /** Ends the exchange and drops its message, so that the next one may be read. */
   public void endExchange() {
     exchange = null;
+    parser.releaseMessage();
   }
 
   /** The request in progress or the attempt; null if there is none. */
@@ -313,6 +314,7 @@
   public void discardRest() {
     isClosing = true;
     in.clear();
+    parser.release();
     resumeReading();
   }
 
@@ -427,11 +429,12 @@
   }
 
   /**
-   * Returns the memory of both buffers to the budget; to be called when the close has been
+   * Returns the memory of buffers and parser to the budget; to be called when the close has been
    * reported.
    */
   public void releaseBuffers() {
     in.release();
     out.release();
+    parser.release();
   }
 }
--- a/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
+++ b/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
@@ -75,8 +75,10 @@
    */
   private static int fault(Connection connection) {
     int fault = connection.parser().fault();
-    boolean isStarved = connection.isServerSide() && connection.in().isStarved();
-    return fault == 0 && isStarved ? HttpStatus.SERVICE_UNAVAILABLE : fault;
+    boolean isStarved = connection.in().isStarved() || connection.parser().isStarved();
+    return fault == 0 && isStarved && connection.isServerSide()
+        ? HttpStatus.SERVICE_UNAVAILABLE
+        : fault;
   }
 
   /**
--- a/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
@@ -1,7 +1,8 @@
 package dillcross.net.http;
 
+import dillcross.net.buffer.MemoryBudget;
+import dillcross.net.buffer.MemoryHold;
 import dillcross.net.buffer.RingBuffer;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 
 /**
@@ -22,16 +23,21 @@
   private static final String RESPONSE_START = "HTTP/1.";
   private static final int HEAD_END_BYTES = 4; // two line ends
   private static final int LINE_END_BYTES = 2;
+  // The heap that a field takes beside its characters: a map entry, and two strings with arrays.
+  private static final int FIELD_OVERHEAD_BYTES = 136;
 
   private final boolean parsesRequests;
   private final HttpHeadParser headParser;
   private final int maxBufferedBody;
   private final long maxBody;
+  private final MemoryBudget budget;
+  private final MemoryHold held; // the head, and the body of a request until it is released
   private HttpMessage head; // the message whose body is being read; null between messages
   private long remaining; // bytes left of the body or chunk, or HttpMessage.UNTIL_CLOSE
   private long received; // bytes of the body that were taken
   private ChunkDecoder chunks; // null if the body is not chunked
-  private ByteArrayOutputStream collected; // bytes of a body of unknown length; else null
+  private RingBuffer collected; // bytes of a body of unknown length; null for a known length
+  private boolean isHeadRefused; // the memory budget had no space for the head
   private boolean isStreaming; // the caller takes the rest of the body as it arrives
   private boolean isBodyComplete; // all of the body has been taken
   private int interimResponses; // in a row, before the final response
@@ -46,11 +52,15 @@
    * @param maxBufferedBody the size of the largest body that is returned completely, in bytes; a
    *     larger one is streamed
    * @param maxBody the size of the largest body that is allowed, in bytes; a larger one is a fault
+   * @param budget the budget from which the memory of parsed messages is taken
    */
-  public HttpMessageParser(boolean parsesRequests, int maxBufferedBody, long maxBody) {
+  public HttpMessageParser(
+      boolean parsesRequests, int maxBufferedBody, long maxBody, MemoryBudget budget) {
     this.parsesRequests = parsesRequests;
     this.maxBufferedBody = maxBufferedBody;
     this.maxBody = maxBody;
+    this.budget = budget;
+    held = new MemoryHold(budget);
     headParser = new HttpHeadParser(parsesRequests);
   }
 
@@ -59,6 +69,11 @@
     return fault;
   }
 
+  /** Whether the memory budget had no space for the message that is being read. */
+  public boolean isStarved() {
+    return isHeadRefused || (collected != null && collected.isStarved());
+  }
+
   /** Whether the head of a message has been read, and its body has not been read completely. */
   public boolean isInMessage() {
     return head != null;
@@ -112,6 +127,9 @@
       if (head == null && !readHead(in)) {
         return Optional.empty();
       }
+      if (isHeadRefused) {
+        return Optional.empty();
+      }
       if (isInterimResponse()) {
         skipInterimResponse();
         continue;
@@ -140,6 +158,7 @@
     expectsContinue = false;
     long rest = collected == null ? remaining : HttpMessage.UNKNOWN;
     HttpMessage message = withBody(body, isBodyComplete ? 0 : rest);
+    moveToHold(body.length);
     isStreaming = !isBodyComplete;
     if (isBodyComplete) {
       finish();
@@ -147,6 +166,36 @@
     return message;
   }
 
+  /**
+   * Counts the body of a request from now on, until {@link #releaseMessage}; a response is
+   * forwarded at once.
+   */
+  private void moveToHold(int bodyBytes) {
+    if (parsesRequests) {
+      held.add(bodyBytes);
+    } else {
+      held.release();
+    }
+    if (collected != null) {
+      collected.release();
+    }
+  }
+
+  /**
+   * Returns the memory of the last message to the budget, because nothing refers to it any more.
+   */
+  public void releaseMessage() {
+    held.release();
+  }
+
+  /** Returns all memory to the budget. No message may be parsed after that. */
+  public void release() {
+    held.close();
+    if (collected != null) {
+      collected.release();
+    }
+  }
+
   private HttpMessage withBody(byte[] body, long rest) {
     if (head instanceof HttpRequest request) {
       return new HttpRequest(
@@ -161,7 +210,7 @@
   public void finish() {
     head = null;
     isStreaming = false;
-    collected = null;
+    collected = null; // it was released when its bytes were returned
   }
 
   /** Reads a body of known length: all of it, or the first bytes if it is large. */
@@ -176,17 +225,30 @@
     return Optional.of(take(in, (int) Math.min(remaining, Math.min(maxBufferedBody, in.size()))));
   }
 
-  /** Reads a body of unknown length: all of it, or the first bytes once it proves to be large. */
+  /**
+   * Reads a body of unknown length: all of it, or the first bytes once it proves to be large. A
+   * response is streamed from where the memory budget refuses to collect more of it.
+   */
   private Optional<byte[]> readUnknownLength(RingBuffer in, boolean ended) {
     int available = availableBody(in, ended);
     while (available > 0) {
       if (collected.size() + available > maxBufferedBody) {
-        return Optional.of(collected.toByteArray());
+        return Optional.of(collectedBytes());
+      }
+      if (!collected.ensureSpace(available)) {
+        return parsesRequests ? Optional.empty() : Optional.of(collectedBytes());
       }
-      collected.writeBytes(take(in, available));
+      collected.moveFrom(in, available);
+      onBodyTaken(available);
       available = availableBody(in, ended);
     }
-    return isBodyComplete ? Optional.of(collected.toByteArray()) : Optional.empty();
+    return isBodyComplete ? Optional.of(collectedBytes()) : Optional.empty();
+  }
+
+  private byte[] collectedBytes() {
+    byte[] bytes = new byte[collected.size()];
+    collected.copyTo(0, bytes, 0, bytes.length);
+    return bytes;
   }
 
   private byte[] take(RingBuffer in, int count) {
@@ -242,10 +304,21 @@
       in.skip(end + HEAD_END_BYTES);
       scanned = 0;
       startMessage(headParser.parse(lines));
+      holdHead(end + lines.length * FIELD_OVERHEAD_BYTES);
     }
     return head != null;
   }
 
+  /** Takes memory for a parsed head; a request that gets none is not read any further. */
+  private void holdHead(int headBytes) {
+    held.release();
+    if (parsesRequests) {
+      isHeadRefused = !held.tryAdd(headBytes);
+    } else {
+      held.add(headBytes);
+    }
+  }
+
   /** Skips empty lines, which are allowed before a message. */
   private void skipEmptyLines(RingBuffer in) {
     while (in.size() >= LINE_END_BYTES && isLineEnd(in, 0)) {
@@ -320,7 +393,10 @@
     received = 0;
     chunks = isChunked ? new ChunkDecoder() : null;
     isBodyComplete = !isChunked && remaining == 0;
-    collected = isChunked || length == HttpMessage.UNTIL_CLOSE ? new ByteArrayOutputStream() : null;
+    collected =
+        isChunked || length == HttpMessage.UNTIL_CLOSE
+            ? new RingBuffer(maxBufferedBody, budget)
+            : null;
     boolean expected = "100-continue".equalsIgnoreCase(message.field(HeaderNames.EXPECT));
     expectsContinue = expected && (isChunked || remaining > 0);
     head = message;
--- a/sidecar/src/main/java/dillcross/net/http/HttpResponse.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpResponse.java
@@ -39,12 +39,13 @@
   }
 
   /**
-   * The response as it is forwarded to the sender of {@code request}, with the framing that the
-   * sender's version of HTTP allows. The status is always 200, because no other response is
-   * forwarded.
+   * The response as it is forwarded to a client, with the framing that the client's version of HTTP
+   * allows. The status is always 200, because no other response is forwarded.
+   *
+   * @param toHttp10 whether the client uses HTTP/1.0
    */
-  public HttpResponse forwardedTo(HttpRequest request) {
-    boolean untilClose = remainingBytes == UNKNOWN && request.isHttp10();
+  public HttpResponse forwarded(boolean toHttp10) {
+    boolean untilClose = remainingBytes == UNKNOWN && toHttp10;
     long remaining = untilClose ? UNTIL_CLOSE : remainingBytes;
     return new HttpResponse(
         HttpMessage.HTTP_11,
--- /dev/null
+++ b/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
@@ -0,0 +1,100 @@
+package dillcross.cli;
+
+import static dillcross.cli.HttpMessages.exchange;
+import static dillcross.cli.HttpMessages.send;
+import static dillcross.cli.HttpMessages.statusOf;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Covers what happens when peers make the sidecar hold more than its memory; see {@link
+ * dillcross.net.buffer.MemoryBudget}.
+ */
+class MemoryLimitIT extends SidecarFixture {
+  private static final int MAX_SOCKETS = 1024;
+  private static final int CROWD = 640; // fewer than the sidecar accepts
+  private static final int WAVES = 2;
+  private static final int HEAD_FIELDS = 150;
+  private static final int CHUNKS = 65;
+  private static final int CHUNK_BYTES = 1000;
+  private static final int MAX_ANSWER_MS = DEFAULT_TIMEOUT_MS + 550; // later is never
+  private static final int MAX_PEAK_KILOBYTES = 192 << 10;
+  private static final int USUAL_REQUESTS = 40; // in each wave
+  private static final int USUAL_INTERVAL_MS = 50;
+
+  /** Guards against: bodies that stop half way fill the heap, and usual clients get no answer. */
+  @Test
+  void servesOthersWhileManyChunkedBodiesStopHalfWay() throws Exception {
+    startAndAwaitReady(new TestConfig(entryOfA()).maxSockets(MAX_SOCKETS));
+    String request = halfOfChunkedRequest();
+    Socket usual = connect();
+    for (int wave = 0; wave < WAVES; wave++) {
+      List<Socket> crowd = new ArrayList<>();
+      for (int i = 0; i < CROWD; i++) {
+        crowd.add(connectAndSend(request.replace("Request-Id: ", "Request-Id: w" + wave + i)));
+      }
+      for (int i = 0; i < USUAL_REQUESTS; i++) {
+        assertServedInTime(usual);
+        Thread.sleep(USUAL_INTERVAL_MS);
+      }
+      for (Socket client : crowd) {
+        client.close();
+      }
+    }
+
+    int peakKilobytes = peakMemoryKilobytes();
+    assertTrue(peakKilobytes < MAX_PEAK_KILOBYTES, "peak memory: " + peakKilobytes + " kB");
+    sidecar.signal("TERM");
+    assertEquals(
+        List.of(),
+        sidecar.remainingLog().stream().filter(line -> line.contains("OutOfMemoryError")).toList());
+  }
+
+  private String halfOfChunkedRequest() {
+    StringBuilder fields = new StringBuilder();
+    for (int i = 0; i < HEAD_FIELDS; i++) {
+      fields.append("X-").append(i).append(": ").append("n".repeat(35)).append("\r\n");
+    }
+    String chunk = Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n";
+    return request("/buy/ok")
+        .replace(
+            "Content-Length: 3\r\n\r\nabc",
+            fields + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(CHUNKS));
+  }
+
+  /** Sends what the sidecar takes: it may refuse the request before all of it was sent. */
+  private Socket connectAndSend(String request) throws IOException {
+    Socket socket = connect();
+    try {
+      send(socket, request);
+    } catch (IOException refused) {
+      socket.close();
+    }
+    return socket;
+  }
+
+  private void assertServedInTime(Socket client) throws IOException {
+    long startNs = System.nanoTime();
+    assertEquals("200", statusOf(exchange(client, request("/read/ok"))));
+    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+    assertTrue(elapsedMs < MAX_ANSWER_MS, "answered after " + elapsedMs + " ms");
+  }
+
+  private int peakMemoryKilobytes() throws IOException {
+    Matcher peak =
+        Pattern.compile("VmHWM:\\s*([0-9]+) kB")
+            .matcher(Files.readString(sidecar.procFile("status")));
+    assertTrue(peak.find());
+    return Integer.parseInt(peak.group(1));
+  }
+}
--- a/sidecar/src/test/java/dillcross/net/http/HttpMessageParserTest.java
+++ b/sidecar/src/test/java/dillcross/net/http/HttpMessageParserTest.java
@@ -23,7 +23,8 @@
   }
 
   private static HttpMessageParser parser(boolean requests) {
-    return new HttpMessageParser(requests, HttpMessageParser.MAX_BUFFERED_BODY_BYTES, 1 << 20);
+    return new HttpMessageParser(
+        requests, HttpMessageParser.MAX_BUFFERED_BODY_BYTES, 1 << 20, new MemoryBudget(1 << 20));
   }
 
   /** Parses a text that arrives all at once; null if it contains no message. */
@@ -315,7 +316,8 @@
   })
   void knowsWhenTheLastByteHasArrived(int arrived, boolean hasLength, boolean isKnown) {
     RingBuffer buffer = new RingBuffer(1 << 17, new MemoryBudget(1 << 20));
-    HttpMessageParser parser = new HttpMessageParser(true, 1 << 10, 1 << 20);
+    HttpMessageParser parser =
+        new HttpMessageParser(true, 1 << 10, 1 << 20, new MemoryBudget(1 << 20));
     String head =
         "POST /b HTTP/1.1\r\nHost: a\r\n"
             + (hasLength
@@ -328,4 +330,67 @@
     buffer.add(new byte[arrived - Math.min(arrived, 2000)]);
     assertEquals(isKnown, parser.hasRestArrived(buffer));
   }
+
+  /**
+   * Guards against: a body of unknown length, and a head of many fields, fill the heap although the
+   * memory budget looks unused.
+   */
+  @Test
+  void takesIncompleteRequestFromTheMemoryBudget() {
+    MemoryBudget budget = new MemoryBudget(1 << 20);
+    HttpMessageParser parser = new HttpMessageParser(true, 1 << 16, 1 << 20, budget);
+    RingBuffer buffer = new RingBuffer(1 << 17, new MemoryBudget(1 << 20));
+    StringBuilder fields = new StringBuilder();
+    for (int i = 0; i < 100; i++) {
+      fields.append("X-").append(i).append(": n|");
+    }
+
+    buffer.add(bytes("POST /b HTTP/1.1|Host: a|" + fields + "Transfer-Encoding: chunked||"));
+    assertTrue(parser.parse(buffer, false).isEmpty());
+    long headBytes = budget.taken();
+    assertTrue(headBytes > 10_000, "the head takes " + headBytes + " bytes");
+
+    buffer.add(bytes("7530|" + "x".repeat(30_000)));
+    assertTrue(parser.parse(buffer, false).isEmpty());
+    assertTrue(budget.taken() > headBytes + 30_000, "with body " + budget.taken() + " bytes");
+
+    buffer.add(bytes("|0||"));
+    assertEquals(30_000, parser.parse(buffer, false).orElseThrow().body().length);
+    assertEquals(headBytes + 30_000, budget.taken(), "the request waits for its response");
+    parser.releaseMessage();
+    assertEquals(0, budget.taken());
+  }
+
+  /** Guards against: a request is read on although the memory budget has no space for it. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 20_000})
+  void refusesRequestForWhichThereIsNoMemory(int budgetBytes) {
+    MemoryBudget budget = new MemoryBudget(budgetBytes);
+    HttpMessageParser parser = new HttpMessageParser(true, 1 << 16, 1 << 20, budget);
+    RingBuffer buffer = new RingBuffer(1 << 17, new MemoryBudget(1 << 20));
+    buffer.add(bytes("POST /b HTTP/1.1|Host: a|Transfer-Encoding: chunked||7530|"));
+    buffer.add(new byte[30_000]);
+
+    assertTrue(parser.parse(buffer, false).isEmpty());
+
+    assertTrue(parser.isStarved());
+    parser.release();
+    assertEquals(0, budget.taken());
+  }
+
+  /** A response is not refused where there is no memory to collect it: it is streamed. */
+  @Test
+  void streamsResponseThatCannotBeCollected() {
+    MemoryBudget budget = new MemoryBudget(0);
+    HttpMessageParser parser = new HttpMessageParser(false, 1 << 16, 1 << 20, budget);
+    RingBuffer buffer = new RingBuffer(1 << 17, new MemoryBudget(1 << 20));
+    buffer.add(bytes("HTTP/1.1 200 OK|Transfer-Encoding: chunked||7530|"));
+    buffer.add(new byte[20_000]);
+
+    HttpMessage message = parser.parse(buffer, false).orElseThrow();
+
+    assertEquals(HttpMessage.UNKNOWN, message.remainingBytes());
+    assertEquals(20_000, message.body().length + parser.availableBody(buffer, false));
+    assertEquals(0, budget.taken());
+  }
 }
