--- a/sidecar/src/main/java/dillcross/cli/ServeCommand.java
+++ b/sidecar/src/main/java/dillcross/cli/ServeCommand.java
@@ -31,7 +31,8 @@
 final class ServeCommand {
   private static final Logger LOG = Logger.getLogger(ServeCommand.class.getName());
   private static final int WARM_UP_REQUESTS = 120;
-  private static final int HEAP_TO_BUFFERS_RATIO = 4; // buffers take a quarter of the heap at most
+  // The share of the heap that may be held for clients and endpoints.
+  private static final double HEAP_SHARE = 3 / 8.0;
   private static final int MICROS_PER_MILLI = 1000;
   private static final int NANOS_PER_MICRO = 1000;
   private static final int EXIT_CANNOT_START = 1;
@@ -116,8 +117,7 @@
     SidecarLimits limits =
         config
             .limits()
-            .atMost(
-                DescriptorLimit.read(), Runtime.getRuntime().maxMemory() / HEAP_TO_BUFFERS_RATIO);
+            .atMost(DescriptorLimit.read(), (long) (Runtime.getRuntime().maxMemory() * HEAP_SHARE));
     SidecarServer server =
         new SidecarServer(
             new GrizzlyNetwork(),
--- a/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
+++ b/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
@@ -4,11 +4,9 @@
 import dillcross.net.connection.InboundResponse;
 import dillcross.net.discovery.DiscoveryClient;
 import dillcross.net.endpoint.AttemptExecutor;
-import dillcross.net.http.HeaderNames;
 import dillcross.net.http.HttpResponse;
 import dillcross.net.http.HttpStatus;
 import dillcross.sidecar.NetworkCommand;
-import java.util.Locale;
 
 /** Passes each command of the coordinator to the component that carries it out. */
 final class CommandDispatcher {
@@ -17,9 +15,6 @@
   private static final String FAILED_BODY = "failed";
   private static final String CLIENT_ERROR_BODY = "turned down"; // with the endpoint's 4xx status
 
-  private static final int MICROS_PER_MILLI = 1000;
-  private static final int MILLIS_PER_SECOND = 1000;
-
   private final ClientListener listener;
   private final AttemptExecutor attempts;
   private final DiscoveryClient discovery;
@@ -70,20 +65,12 @@
     ClientListener.Caller caller = caller(command.client());
     InboundResponse inbound = (InboundResponse) command.content();
     boolean chunked = listener.startStreaming(caller, inbound.response());
+    inbound.dropFirstBytes();
     attempts.relayResponse(inbound, caller.connection(), chunked);
   }
 
   private void reject(NetworkCommand.RejectRequest command) {
-    HttpResponse response = HttpResponse.text(HttpStatus.SERVICE_UNAVAILABLE, REJECTED_BODY);
-    if (command.retryAfterUs() > 0) {
-      response.fields().put(HeaderNames.RETRY_AFTER, seconds(command.retryAfterUs()));
-    }
+    HttpResponse response = HttpResponse.rejection(REJECTED_BODY, command.retryAfterUs());
     listener.respond(caller(command.client()), response);
   }
-
-  /** Formats microseconds as seconds with three decimals, rounded up to whole milliseconds. */
-  private static String seconds(long us) {
-    long ms = (us + MICROS_PER_MILLI - 1) / MICROS_PER_MILLI;
-    return String.format(Locale.ROOT, "%d.%03d", ms / MILLIS_PER_SECOND, ms % MILLIS_PER_SECOND);
-  }
 }
--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -100,7 +100,7 @@
     listener =
         new ClientListener(
             coordinator, lifecycle, this::now, clients, limits.maxBodyBytes(), budget);
-    discovery = new DiscoveryClient(network, coordinator, this::now, discoveryAddress, budget);
+    discovery = new DiscoveryClient(network, coordinator, this::now, discoveryAddress);
     attempts =
         new AttemptExecutor(
             network,
@@ -136,7 +136,7 @@
   private void configure(SidecarSettings settings) {
     long timeoutUs = settings.maxTimeoutUs();
     maxTimeoutUs = Math.max(maxTimeoutUs, timeoutUs);
-    listener.configure(settings.balancer().requestClasses(), timeoutUs);
+    listener.configure(settings.balancer(), timeoutUs);
     // Idle connections are closed before the endpoint's own idle timeout, because the endpoint has
     // started its timer earlier.
     long keepAliveUs = settings.keepAliveUs();
--- a/sidecar/src/main/java/dillcross/net/WarmUp.java
+++ b/sidecar/src/main/java/dillcross/net/WarmUp.java
@@ -5,6 +5,7 @@
 import dillcross.model.Endpoint.Health;
 import dillcross.model.RequestClass;
 import dillcross.net.buffer.MemoryBudget;
+import dillcross.net.buffer.MemoryUse;
 import dillcross.net.buffer.RingBuffer;
 import dillcross.net.http.HeaderNames;
 import dillcross.net.http.HttpMessage;
@@ -39,7 +40,7 @@
 
   private final RequestCoordinator coordinator;
   private final MemoryBudget budget = new MemoryBudget(BUDGET_BYTES);
-  private final RingBuffer buffer = new RingBuffer(BUFFER_BYTES, budget);
+  private final RingBuffer buffer = new RingBuffer(BUFFER_BYTES, budget, MemoryUse.RESPONSE_OUTPUT);
 
   private WarmUp(RequestCoordinator coordinator) {
     this.coordinator = coordinator;
--- a/sidecar/src/main/java/dillcross/net/buffer/MemoryHold.java
+++ b/sidecar/src/main/java/dillcross/net/buffer/MemoryHold.java
@@ -14,9 +14,12 @@
     this.budget = budget;
   }
 
-  /** Takes {@code bytes} more from the budget; returns false, and takes none, if it refuses. */
+  /**
+   * Takes {@code bytes} more of a request from the budget; returns false, and takes none, if it
+   * refuses.
+   */
   public boolean tryAdd(int bytes) {
-    boolean isTaken = !isClosed && budget.tryTake(bytes);
+    boolean isTaken = !isClosed && budget.tryGrow(MemoryUse.REQUEST_INPUT, held, held + bytes);
     if (isTaken) {
       held += bytes;
     }
--- a/sidecar/src/main/java/dillcross/net/buffer/RingBuffer.java
+++ b/sidecar/src/main/java/dillcross/net/buffer/RingBuffer.java
@@ -15,6 +15,7 @@
 
   private final int maxBytes;
   private final MemoryBudget budget;
+  private final MemoryUse use;
   private byte[] bytes = new byte[INITIAL_BYTES];
   private int head;
   private int size;
@@ -26,10 +27,12 @@
    * Creates an empty buffer.
    *
    * @param maxBytes the most bytes that the buffer can hold; a power of two
+   * @param use what the buffer holds, which says how much of the budget it may take
    */
-  public RingBuffer(int maxBytes, MemoryBudget budget) {
+  public RingBuffer(int maxBytes, MemoryBudget budget, MemoryUse use) {
     this.maxBytes = maxBytes;
     this.budget = budget;
+    this.use = use;
   }
 
   /** The number of bytes in the buffer. */
@@ -81,7 +84,7 @@
     }
     if (size == 0) {
       head = 0;
-      if (bytes.length > MAX_IDLE_BYTES && !keepsCapacity) {
+      if (bytes.length > MAX_IDLE_BYTES && !(keepsCapacity && budget.isAmple())) {
         shrink(); // one large message must not occupy memory for as long as the connection is open
       }
     }
@@ -93,8 +96,8 @@
   }
 
   /**
-   * Sets whether the buffer keeps its memory while it is empty. Set for a streamed body, for which
-   * the buffer would otherwise shrink and grow again at each read.
+   * Sets whether the buffer keeps its memory while it is empty and the budget is ample. Set for a
+   * streamed body, for which the buffer would otherwise shrink and grow again at each read.
    */
   public void setKeepsCapacity(boolean keeps) {
     keepsCapacity = keeps;
@@ -196,7 +199,7 @@
       return true;
     }
     int length = Integer.highestOneBit(needed - 1) * 2;
-    isStarved = isReleased || !budget.tryTake(length - bytes.length);
+    isStarved = isReleased || !budget.tryGrow(use, bytes.length, length);
     if (isStarved) {
       return false;
     }
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -1,5 +1,6 @@
 package dillcross.net.client;
 
+import dillcross.model.BalancerSettings;
 import dillcross.model.RequestClass;
 import dillcross.net.admin.AdminPaths;
 import dillcross.net.admin.Lifecycle;
@@ -20,7 +21,6 @@
 import dillcross.sidecar.RequestCoordinator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -44,6 +44,7 @@
   // that send one request and stay connected would accumulate otherwise.
   private static final long IDLE_TIMEOUT_US = 20_000_000;
   private static final int MICROS_PER_MILLI = 1000;
+  private static final String UNREADABLE_BODY = "malformed request, or no room for it";
   private static final String UNKNOWN_CLASS_BODY = "unknown category"; // the protocol's term
 
   private final RequestCoordinator coordinator;
@@ -51,6 +52,7 @@
   private final Lifecycle lifecycle;
   private final long maxBody;
   private final MemoryBudget budget;
+  private final MemoryRejection memoryRejection;
   private final ClientConnections connections;
   // The clients' ids of the requests that wait for their response.
   private final Set<String> openIds = new HashSet<>();
@@ -94,17 +96,19 @@
     this.connections = connections;
     this.maxBody = maxBody;
     this.budget = budget;
+    memoryRejection = new MemoryRejection(budget);
   }
 
   /**
    * Sets the request classes that are served from now on, and the longest request timeout in
    * microseconds. Open requests go on unchanged.
    */
-  public void configure(List<RequestClass> served, long newMaxTimeoutUs) {
+  public void configure(BalancerSettings settings, long newMaxTimeoutUs) {
     Map<String, RequestClass> byName = new LinkedHashMap<>();
-    served.forEach(requestClass -> byName.put(requestClass.name(), requestClass));
+    settings.requestClasses().forEach(served -> byName.put(served.name(), served));
     requestClasses = byName;
     maxTimeoutUs = newMaxTimeoutUs;
+    memoryRejection.configure(settings.maxRetryAfterUs());
   }
 
   /**
@@ -163,7 +167,16 @@
 
   @Override
   public void onMalformedMessage(Connection connection, int status) {
-    rejectAndClose(connection, HttpResponse.text(status, "malformed request, or no room for it"));
+    if (status == HttpStatus.SERVICE_UNAVAILABLE) {
+      rejectAndClose(connection, noMemory());
+    } else {
+      rejectAndClose(connection, HttpResponse.text(status, UNREADABLE_BODY));
+    }
+  }
+
+  /** The response to a request for which there is no memory. Nothing of it was forwarded. */
+  private HttpResponse noMemory() {
+    return memoryRejection.response(clock.getAsLong(), UNREADABLE_BODY);
   }
 
   @Override
@@ -182,6 +195,8 @@
     Optional<HttpResponse> rejection = RequestValidator.check(request, requestClass, openIds);
     if (rejection.isPresent()) {
       rejectAndClose(connection, rejection.get());
+    } else if (budget.isExhausted()) {
+      respond(Caller.of(connection, request), noMemory());
     } else {
       accept(connection, request, requestClass);
     }
--- a/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
+++ b/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
@@ -1,5 +1,6 @@
 package dillcross.net.connection;
 
+import dillcross.net.buffer.MemoryBudget;
 import dillcross.net.buffer.RingBuffer;
 import dillcross.net.http.HttpMessage;
 import dillcross.net.http.HttpMessageParser;
@@ -19,11 +20,10 @@
     void onFinished(boolean complete);
   }
 
-  /**
-   * The bytes that may wait in each of the two buffers: enough to keep a connection busy, and few
-   * enough for many relays within the memory budget.
-   */
-  static final int WINDOW_BYTES = 64 << 10;
+  // The bytes that may wait in each of the two buffers: enough to keep a connection busy, and few
+  // enough for many relays within the memory budget.
+  private static final int WINDOW_BYTES = 64 << 10;
+  private static final int SCARCE_WINDOW_BYTES = 8 << 10;
 
   private static final int MAX_FRAMING_BYTES = 16; // around one chunk, or at the end of the body
   private static final byte[] LINE_END = HttpMessage.lineEnd();
@@ -47,6 +47,11 @@
     this.listener = listener;
   }
 
+  /** The number of bytes that may wait in a buffer of a relay at the moment. */
+  static int windowBytes(MemoryBudget budget) {
+    return budget.isScarce() ? SCARCE_WINDOW_BYTES : WINDOW_BYTES;
+  }
+
   /** Attaches the relay to both connections. */
   public void start() {
     source.relays().attachInbound(this);
@@ -76,7 +81,7 @@
     int available = availableBody();
     boolean moved = false;
     while (available > 0) {
-      int space = freeBytes();
+      int space = freeBytes(available);
       if (space <= 0) {
         break;
       }
@@ -105,9 +110,12 @@
     return source.parser().availableBody(source.in(), source.hasInputEndedCleanly());
   }
 
-  private int freeBytes() {
+  /** How many of the available bytes fit; the output buffer grows for them, but not for more. */
+  private int freeBytes(int available) {
     int framing = chunked ? 2 * MAX_FRAMING_BYTES : 0;
-    return target.out().freeBytes(WINDOW_BYTES) - framing;
+    RingBuffer out = target.out();
+    return out.freeBytes(Math.min(target.relayWindow(), out.size() + available + framing))
+        - framing;
   }
 
   private void move(int count) {
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -1,15 +1,13 @@
 package dillcross.net.connection;
 
 import dillcross.net.buffer.MemoryBudget;
+import dillcross.net.buffer.MemoryUse;
 import dillcross.net.buffer.RingBuffer;
 import dillcross.net.http.HttpMessage;
 import dillcross.net.http.HttpMessageParser;
 import dillcross.net.transport.Network;
 import dillcross.net.transport.TransportChannel;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.util.Collection;
-import java.util.Deque;
 
 /**
  * One HTTP connection: its input and output buffers, the parser of its input, and the exchange that
@@ -25,13 +23,12 @@
   private final MemoryBudget budget;
   private final int standardWindow; // fits the largest buffered body with its head and framing
   private final RingBuffer in;
-  private final RingBuffer out;
+  private final ConnectionOutput output;
   private final HttpMessageParser parser;
 
   private final ConnectionActivity activity = new ConnectionActivity();
   private final ConnectionRelays relays = new ConnectionRelays();
   private Object exchange; // a request in progress, or an attempt; null while there is none
-  private Collection<Connection> pool; // the idle connections that it last joined; null if none
   private boolean closesAfterResponse;
   private boolean isClosing; // closed once all output is written
   private final InputDiscarder discarder = new InputDiscarder();
@@ -40,9 +37,6 @@
   private boolean isConnected;
   private boolean hasInputEnded; // no more bytes will arrive
   private boolean wasInputReset; // the input ended by an error, so a message may be cut short
-  private boolean wasLastMessageDropped; // the output buffer had no space for it
-  private boolean isWriting; // the channel has not finished the last write
-  private int bytesInWrite; // bytes of the unfinished write, which are still in the output buffer
 
   /**
    * Creates a connection whose connect has not succeeded yet.
@@ -64,8 +58,13 @@
     this.isServerSide = isServerSide;
     this.budget = budget;
     standardWindow = 2 * maxBufferedBody;
-    in = new RingBuffer(isServerSide ? MAX_PIPELINED_BYTES : standardWindow, budget);
-    out = new RingBuffer(2 * HttpMessageParser.MAX_BUFFERED_BODY_BYTES, budget);
+    in =
+        isServerSide
+            ? new RingBuffer(MAX_PIPELINED_BYTES, budget, MemoryUse.REQUEST_INPUT)
+            : new RingBuffer(standardWindow, budget, MemoryUse.RESPONSE_INPUT);
+    output =
+        new ConnectionOutput(
+            channel, budget, isServerSide ? MemoryUse.RESPONSE_OUTPUT : MemoryUse.REQUEST_OUTPUT);
     parser = new HttpMessageParser(isServerSide, maxBufferedBody, maxBody, budget);
   }
 
@@ -91,7 +90,7 @@
 
   /** The output buffer: bytes that the network has not taken over yet. */
   public RingBuffer out() {
-    return out;
+    return output.buffer();
   }
 
   /** The parser of the input. */
@@ -159,19 +158,6 @@
     return exchange;
   }
 
-  /** Adds the connection to the end of its endpoint's idle connections. */
-  public void joinPool(Deque<Connection> idleConnections) {
-    idleConnections.addLast(this);
-    pool = idleConnections;
-  }
-
-  /** Removes the connection from the idle connections that it last joined, if it is still there. */
-  public void leavePool() {
-    if (pool != null) {
-      pool.remove(this);
-    }
-  }
-
   // Input
 
   /**
@@ -205,7 +191,12 @@
     if (!isRelayed && isBehindRequest && budget.isAmple()) {
       return MAX_PIPELINED_BYTES;
     }
-    return isStreaming ? BodyRelay.WINDOW_BYTES : standardWindow;
+    return isStreaming ? relayWindow() : standardWindow;
+  }
+
+  /** The number of bytes of a relayed body that may wait in one buffer. */
+  int relayWindow() {
+    return BodyRelay.windowBytes(budget);
   }
 
   boolean isInputFull() {
@@ -267,7 +258,7 @@
 
   /** Resumes reading if it is paused and the input buffer has space again. */
   public void resumeReading() {
-    boolean isRelayBehind = parser.isStreaming() && in.size() > BodyRelay.WINDOW_BYTES / 2;
+    boolean isRelayBehind = parser.isStreaming() && in.size() > relayWindow() / 2;
     if (isPaused && !hasInputEnded && !isInputFull() && !isRelayBehind) {
       isPaused = false;
       setReadInterest(true);
@@ -325,40 +316,37 @@
    * connection.
    */
   public void send(HttpMessage message) {
-    wasLastMessageDropped = !out.add(message.encode());
-    if (wasLastMessageDropped) {
+    send(message.encode());
+  }
+
+  /** As {@link #send(HttpMessage)}, for an encoded message. */
+  public void send(byte[] message) {
+    if (!output.send(message, this)) {
       close();
-    } else {
-      flush();
     }
   }
 
+  /** Whether the output buffer has space for a message of {@code count} bytes. */
+  public boolean hasSpaceFor(int count) {
+    return output.buffer().ensureSpace(count);
+  }
+
   /** Whether all of the last message was handed to the network. */
   public boolean isFullyWritten() {
-    return isConnected && !wasLastMessageDropped && !relays.hasOutbound() && out.size() == 0;
+    return isConnected && !relays.hasOutbound() && output.isFullyWritten();
   }
 
-  /**
-   * Writes the output buffer to the channel, unless a write is in progress; the channel queues what
-   * the socket has no space for.
-   */
+  /** Writes the output buffer to the channel, unless a write is in progress. */
   void flush() {
-    if (!isWriting && out.size() > 0) {
-      ByteBuffer bytes = out.contiguous();
-      bytesInWrite = bytes.remaining();
-      isWriting = true;
-      channel.write(bytes, this);
-    }
+    output.flush(this);
   }
 
   @Override
   public void onWritten() {
-    isWriting = false;
-    out.skip(bytesInWrite);
-    activity.countBytes(bytesInWrite);
+    activity.countBytes(output.finishWrite());
     flush();
     relays.transferOutbound();
-    if (isClosing && out.size() == 0) {
+    if (isClosing && out().size() == 0) {
       shutdownOutput();
     }
   }
@@ -393,7 +381,7 @@
   /** Makes the connection close once the present content of the output buffer is written. */
   public void closeAfterOutput() {
     isClosing = true;
-    if (out.size() == 0 && !isWriting) {
+    if (output.isIdle()) {
       shutdownOutput();
     }
   }
@@ -434,7 +422,7 @@
    */
   public void releaseBuffers() {
     in.release();
-    out.release();
+    output.buffer().release();
     parser.release();
   }
 }
--- /dev/null
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionOutput.java
@@ -0,0 +1,71 @@
+package dillcross.net.connection;
+
+import dillcross.net.buffer.MemoryBudget;
+import dillcross.net.buffer.MemoryUse;
+import dillcross.net.buffer.RingBuffer;
+import dillcross.net.http.HttpMessageParser;
+import dillcross.net.transport.TransportChannel;
+import java.nio.ByteBuffer;
+
+/**
+ * The output of one connection: a buffer, and the write that hands its bytes to the channel. Bytes
+ * stay in the buffer until their write has ended. Belongs to the selector thread.
+ */
+final class ConnectionOutput {
+  private static final int MAX_BYTES = 2 * HttpMessageParser.MAX_BUFFERED_BODY_BYTES;
+
+  private final TransportChannel channel;
+  private final RingBuffer buffer;
+  private boolean wasLastMessageDropped; // the buffer had no space for it
+  private boolean isWriting; // the channel has not finished the last write
+  private int bytesInWrite; // bytes of the unfinished write, which are still in the buffer
+
+  ConnectionOutput(TransportChannel channel, MemoryBudget budget, MemoryUse use) {
+    this.channel = channel;
+    buffer = new RingBuffer(MAX_BYTES, budget, use);
+  }
+
+  /** The bytes that the network has not taken over yet. */
+  RingBuffer buffer() {
+    return buffer;
+  }
+
+  /** Adds and writes a message; returns false, and adds none of it, if there is no space for it. */
+  boolean send(byte[] message, TransportChannel.WriteCallback callback) {
+    wasLastMessageDropped = !buffer.add(message);
+    if (!wasLastMessageDropped) {
+      flush(callback);
+    }
+    return !wasLastMessageDropped;
+  }
+
+  /**
+   * Writes the buffer to the channel, unless a write is in progress; the channel queues what the
+   * socket has no space for.
+   */
+  void flush(TransportChannel.WriteCallback callback) {
+    if (!isWriting && buffer.size() > 0) {
+      ByteBuffer bytes = buffer.contiguous();
+      bytesInWrite = bytes.remaining();
+      isWriting = true;
+      channel.write(bytes, callback);
+    }
+  }
+
+  /** Removes the bytes of the write that has ended; returns their number. */
+  int finishWrite() {
+    isWriting = false;
+    buffer.skip(bytesInWrite);
+    return bytesInWrite;
+  }
+
+  /** Whether nothing is left to be written. */
+  boolean isIdle() {
+    return buffer.size() == 0 && !isWriting;
+  }
+
+  /** Whether all of the last message was handed to the network. */
+  boolean isFullyWritten() {
+    return !wasLastMessageDropped && buffer.size() == 0;
+  }
+}
--- a/sidecar/src/main/java/dillcross/net/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/dillcross/net/discovery/DiscoveryClient.java
@@ -34,10 +34,15 @@
  * <p>When discovery moves, the watch at the former address goes on until the new address has
  * answered, because the new address may be overloaded by a fleet that moves all at once. The cost
  * is that updates from a wrong former address are applied until then.
+ *
+ * <p>It has a memory budget of its own, so that the endpoint list can be read when clients and
+ * endpoints have used up theirs.
  */
 public final class DiscoveryClient implements MessageHandler {
   private static final int MAX_LIST_BYTES = 1 << 20;
   private static final int MAX_CALLS = 3; // newest, overdue, and one to the former address
+  // Fits all calls, each with the longest list; a buffer may be twice as large as its content.
+  private static final long BUDGET_BYTES = (MAX_CALLS + 1) * 2L * MAX_LIST_BYTES;
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
 
   private final RequestCoordinator coordinator;
@@ -57,16 +62,13 @@
    * {@code clock} gives microseconds.
    */
   public DiscoveryClient(
-      Network network,
-      RequestCoordinator coordinator,
-      LongSupplier clock,
-      String address,
-      MemoryBudget budget) {
+      Network network, RequestCoordinator coordinator, LongSupplier clock, String address) {
     this.coordinator = coordinator;
     this.clock = clock;
     this.address = address;
     connectionFactory =
-        new ConnectionFactory(network, this, MAX_LIST_BYTES, MAX_LIST_BYTES, budget);
+        new ConnectionFactory(
+            network, this, MAX_LIST_BYTES, MAX_LIST_BYTES, new MemoryBudget(BUDGET_BYTES));
   }
 
   /**
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -160,14 +160,20 @@
 
   private void send(InFlightAttempt attempt) {
     Connection connection = attempt.connection();
-    attempt.markSent();
     InboundRequest inbound = (InboundRequest) attempt.command().content();
     HttpRequest request = inbound.request();
     Map<String, String> fields = request.forwardedFields();
     long remainingUs = attempt.command().deadlineUs() - clock.getAsLong();
     long timeoutMs = Math.max(1, remainingUs / MICROS_PER_MILLI);
     fields.put(HeaderNames.REQUEST_TIMEOUT, String.valueOf(timeoutMs));
-    connection.send(request.withFields(fields));
+    byte[] forwarded = request.withFields(fields).encode();
+    if (!connection.hasSpaceFor(
+        forwarded.length)) { // this sidecar's limit, not the endpoint's failure
+      end(attempt, AttemptResult.Kind.NOT_SENT, null);
+      return;
+    }
+    attempt.markSent();
+    connection.send(forwarded);
     if (request.isStreaming() && connection.isOpen()) {
       boolean chunked = request.remainingBytes() == HttpMessage.UNKNOWN;
       RequestBodyListener listener =
--- a/sidecar/src/main/java/dillcross/net/endpoint/EndpointConnectionPool.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/EndpointConnectionPool.java
@@ -2,6 +2,8 @@
 
 import dillcross.net.connection.Connection;
 import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -22,6 +24,8 @@
   private final int maxConnections;
   private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
   private final Set<Connection> connections = new LinkedHashSet<>(); // open or opening
+  // The idle connections that a connection joined last; it may have been taken from them since.
+  private final Map<Connection, Deque<Connection>> lastJoined = new HashMap<>();
   private long maxIdleUs; // how long a connection may be idle and still be reused
 
   /**
@@ -98,7 +102,8 @@
   /** Adds a connection that the next attempt can use to the idle ones. */
   void put(Endpoint endpoint, Connection connection) {
     connection.activity().markIdle(clock.getAsLong());
-    connection.joinPool(endpoint.idle());
+    endpoint.idle().addLast(connection);
+    lastJoined.put(connection, endpoint.idle());
   }
 
   /**
@@ -127,7 +132,10 @@
   /** Removes a connection from the pool that was closed, or that the caller is about to reset. */
   void remove(Connection connection) {
     connections.remove(connection);
-    connection.leavePool();
+    Deque<Connection> idle = lastJoined.remove(connection);
+    if (idle != null) {
+      idle.remove(connection);
+    }
   }
 
   void close(Connection connection) {
--- a/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
@@ -2,6 +2,7 @@
 
 import dillcross.net.buffer.MemoryBudget;
 import dillcross.net.buffer.MemoryHold;
+import dillcross.net.buffer.MemoryUse;
 import dillcross.net.buffer.RingBuffer;
 import java.util.Optional;
 
@@ -31,6 +32,7 @@
   private final int maxBufferedBody;
   private final long maxBody;
   private final MemoryBudget budget;
+  private final MemoryUse use;
   private final MemoryHold held; // the head, and the body of a request until it is released
   private HttpMessage head; // the message whose body is being read; null between messages
   private long remaining; // bytes left of the body or chunk, or HttpMessage.UNTIL_CLOSE
@@ -61,6 +63,7 @@
     this.maxBody = maxBody;
     this.budget = budget;
     held = new MemoryHold(budget);
+    use = parsesRequests ? MemoryUse.REQUEST_INPUT : MemoryUse.RESPONSE_INPUT;
     headParser = new HttpHeadParser(parsesRequests);
   }
 
@@ -213,13 +216,16 @@
     collected = null; // it was released when its bytes were returned
   }
 
-  /** Reads a body of known length: all of it, or the first bytes if it is large. */
+  /**
+   * Reads a body of known length: all of it, or the first bytes if it is large. A response is
+   * streamed too where the memory budget has no space for all of it.
+   */
   private Optional<byte[]> readKnownLength(RingBuffer in) {
     // A request's first bytes are kept for another attempt; a response's are forwarded at once.
     long firstBytes = parsesRequests ? maxBufferedBody : 1;
     long wanted = remaining <= maxBufferedBody ? remaining : firstBytes;
-    if (in.size() < wanted) {
-      in.ensureSpace((int) wanted - in.size());
+    // The length that a client announces takes no memory before the bytes have arrived.
+    if (in.size() < wanted && (parsesRequests || in.ensureSpace((int) wanted - in.size()))) {
       return Optional.empty();
     }
     return Optional.of(take(in, (int) Math.min(remaining, Math.min(maxBufferedBody, in.size()))));
@@ -395,7 +401,7 @@
     isBodyComplete = !isChunked && remaining == 0;
     collected =
         isChunked || length == HttpMessage.UNTIL_CLOSE
-            ? new RingBuffer(maxBufferedBody, budget)
+            ? new RingBuffer(maxBufferedBody, budget, use)
             : null;
     boolean expected = "100-continue".equalsIgnoreCase(message.field(HeaderNames.EXPECT));
     expectsContinue = expected && (isChunked || remaining > 0);
--- a/sidecar/src/main/java/dillcross/net/http/HttpResponse.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpResponse.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -17,6 +18,9 @@
     byte[] body,
     long remainingBytes)
     implements HttpMessage {
+  private static final int MICROS_PER_MILLI = 1000;
+  private static final int MILLIS_PER_SECOND = 1000;
+
   /** A response that this sidecar makes, with its complete body. */
   public static HttpResponse of(int status, Map<String, String> fields, byte[] body) {
     return new HttpResponse(
@@ -56,6 +60,30 @@
         remaining);
   }
 
+  /** The head alone, without the bytes of the body that have arrived. */
+  public HttpResponse withoutBody() {
+    return new HttpResponse(version, status, reason, fields, NO_BODY, remainingBytes);
+  }
+
+  /**
+   * A rejection after which a retry is safe.
+   *
+   * @param retryAfterUs when the client may retry, in microseconds from now; 0 to say nothing
+   */
+  public static HttpResponse rejection(String text, long retryAfterUs) {
+    HttpResponse response = text(HttpStatus.SERVICE_UNAVAILABLE, text);
+    if (retryAfterUs > 0) {
+      response.fields().put(HeaderNames.RETRY_AFTER, seconds(retryAfterUs));
+    }
+    return response;
+  }
+
+  /** Formats microseconds as seconds with three decimals, rounded up to whole milliseconds. */
+  private static String seconds(long us) {
+    long ms = (us + MICROS_PER_MILLI - 1) / MICROS_PER_MILLI;
+    return String.format(Locale.ROOT, "%d.%03d", ms / MILLIS_PER_SECOND, ms % MILLIS_PER_SECOND);
+  }
+
   /**
    * Adds the field that announces that the connection closes after this response. Only for a
    * response that this sidecar makes, whose fields can be modified.
--- a/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
+++ b/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
@@ -1,16 +1,22 @@
 package dillcross.cli;
 
 import static dillcross.cli.HttpMessages.exchange;
+import static dillcross.cli.HttpMessages.readResponse;
 import static dillcross.cli.HttpMessages.send;
 import static dillcross.cli.HttpMessages.statusOf;
+import static dillcross.cli.TestDiscovery.inService;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -30,6 +36,9 @@
   private static final int MAX_ANSWER_MS = DEFAULT_TIMEOUT_MS + 550; // later is never
   private static final int MAX_PEAK_KILOBYTES = 192 << 10;
   private static final int USUAL_REQUESTS = 40; // in each wave
+  private static final int LONG_REQUESTS = 200;
+  private static final int LONG_REQUEST_INTERVAL_MS = 8;
+  private static final int ANNOUNCED_BYTES = 64_000;
   private static final int USUAL_INTERVAL_MS = 50;
 
   /** Guards against: bodies that stop half way fill the heap, and usual clients get no answer. */
@@ -60,6 +69,66 @@
         sidecar.remainingLog().stream().filter(line -> line.contains("OutOfMemoryError")).toList());
   }
 
+  /** Guards against: answers that an endpoint has begun are dropped once the memory is used up. */
+  @Test
+  void deliversManyLongAnswersOfSlowEndpoints() throws Exception {
+    TricklingEndpoint endpoint = open(new TricklingEndpoint());
+    startAndAwaitReady(
+        new TestConfig(inService("slow", endpoint.address())).maxSockets(MAX_SOCKETS));
+    List<CompletableFuture<String>> results = new ArrayList<>();
+    ExecutorService threads = Executors.newFixedThreadPool(LONG_REQUESTS);
+    for (int i = 0; i < LONG_REQUESTS; i++) {
+      results.add(CompletableFuture.supplyAsync(this::statusOfLongAnswer, threads));
+      Thread.sleep(LONG_REQUEST_INTERVAL_MS);
+    }
+
+    for (CompletableFuture<String> result : results) {
+      String status = result.get();
+      assertTrue(List.of("200", "503").contains(status), status);
+    }
+    threads.shutdown();
+    assertTrue(
+        results.stream().map(CompletableFuture::join).filter("200"::equals).count()
+            >= LONG_REQUESTS / 2,
+        "most are served");
+  }
+
+  /** The status of a long answer that came whole; "cut" if it did not, "closed" if none began. */
+  private String statusOfLongAnswer() {
+    try {
+      Socket client = connect();
+      send(client, request("/read/long"));
+      String answer = readResponse(client);
+      boolean isWhole =
+          answer.length() - answer.indexOf("\r\n\r\n") - 4 == TricklingEndpoint.BODY_BYTES;
+      return statusOf(answer).equals("200") && !isWhole ? "cut" : statusOf(answer);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Guards against: bodies that are announced and never come take all of the memory. */
+  @Test
+  void answersOthersWhileManyAnnouncedBodiesDoNotCome() throws Exception {
+    startAndAwaitReady(new TestConfig(entryOfA()).maxSockets(MAX_SOCKETS));
+    for (int i = 0; i < CROWD - USUAL_REQUESTS; i++) {
+      send(connect(), withBody(request("/buy/ok"), ANNOUNCED_BYTES, "x".repeat(100)));
+    }
+    awaitClientInputRead();
+
+    for (int i = 0; i < USUAL_REQUESTS; i++) {
+      Socket client = connect();
+      String answer = exchange(client, request("/read/medium"));
+      assertEquals("200", statusOf(answer));
+      assertTrue(answer.endsWith("x".repeat(TestEndpoint.MEDIUM_BODY_BYTES)));
+      client.close();
+    }
+    assertEquals(
+        "200",
+        statusOfNewClient(withBody(request("/buy/ok"), 20_000, "x".repeat(20_000))),
+        "an announced length takes no memory from requests that come whole");
+  }
+
   private String halfOfChunkedRequest() {
     StringBuilder fields = new StringBuilder();
     for (int i = 0; i < HEAD_FIELDS; i++) {
