Let a request wait while its client has over 32 KiB of answers left to read

Callers saw: a client that sent many requests on one connection before it read got an answer that broke off, and none for the requests behind it. Cause: the next request was read as soon as the answer before it was buffered, sent or not; a second answer of 64 KiB with its head finds no space behind a first in a buffer of 128 KiB, and Connection.send closes. Why it works: over 32 KiB unsent, the next request stays in the input buffer, and is read once the client has read on; so each answer finds its 96 KiB.

--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -380,7 +380,8 @@
   }
 
   private void expireIdle(Connection connection, long nowUs, long stalledUs) {
-    boolean hasPartial = connection.hasPartialMessage();
+    // A request that waits because the client reads too slowly does not arrive too late.
+    boolean hasPartial = connection.hasPartialMessage() && !connection.isOutputBehind();
     boolean hasOutput = connection.out().size() > 0;
     boolean isSilent = connection.exchange() == null && !hasPartial && !hasOutput;
     if (isSilent && connection.activity().requestCount() > 0) {
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -331,6 +331,14 @@
     return output.buffer().ensureSpace(count);
   }
 
+  /**
+   * Whether the peer has so much output left to read that its next request has to wait: there may
+   * be no space for another response.
+   */
+  public boolean isOutputBehind() {
+    return output.isBehind();
+  }
+
   /** Whether all of the last message was handed to the network. */
   public boolean isFullyWritten() {
     return isConnected && !relays.hasOutbound() && output.isFullyWritten();
@@ -343,14 +351,26 @@
 
   @Override
   public void onWritten() {
+    boolean wasBehind = isOutputBehind();
     activity.countBytes(output.finishWrite());
     flush();
+    if (wasBehind && !isOutputBehind()) {
+      readWaitingRequest();
+    }
     relays.transferOutbound();
     if (isClosing && out().size() == 0) {
       shutdownOutput();
     }
   }
 
+  /** Reads the request that has waited until the client read the response before it. */
+  private void readWaitingRequest() {
+    if (isServerSide && exchange == null && !isClosing) {
+      resumeReading();
+      scheduleRead();
+    }
+  }
+
   @Override
   public void onWriteFailed() {
     close(); // bytes left in the output buffer show that the message was not fully written
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionOutput.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionOutput.java
@@ -13,6 +13,8 @@
  */
 final class ConnectionOutput {
   private static final int MAX_BYTES = 2 * HttpMessageParser.MAX_BUFFERED_BODY_BYTES;
+  // Unsent bytes behind which the next request waits; the rest of the buffer is for its response.
+  private static final int MAX_UNSENT_BYTES = MAX_BYTES / 4;
 
   private final TransportChannel channel;
   private final RingBuffer buffer;
@@ -68,4 +70,9 @@
   boolean isFullyWritten() {
     return !wasLastMessageDropped && buffer.size() == 0;
   }
+
+  /** Whether so much is unsent that there may be no space for another response. */
+  boolean isBehind() {
+    return buffer.size() > MAX_UNSENT_BYTES;
+  }
 }
--- a/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
+++ b/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
@@ -25,8 +25,9 @@
       continueBody(connection);
       return;
     }
-    // Input that follows an open request waits in the buffer.
-    boolean isBusy = connection.isServerSide() && connection.exchange() != null;
+    // Input that follows an open request, or a response that is not read, waits in the buffer.
+    boolean isBusy =
+        connection.isServerSide() && (connection.exchange() != null || connection.isOutputBehind());
     if (!connection.isClosing() && !isBusy && readMessage(connection)) {
       return;
     }
--- a/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
+++ b/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
@@ -39,6 +39,8 @@
   private static final int LONG_REQUESTS = 200;
   private static final int LONG_REQUEST_INTERVAL_MS = 8;
   private static final int ANNOUNCED_BYTES = 64_000;
+  private static final int PIPELINED = 250; // their answers are longer than the sockets' buffers
+  private static final int SETTLE_MS = 200;
   private static final int USUAL_INTERVAL_MS = 50;
 
   /** Guards against: bodies that stop half way fill the heap, and usual clients get no answer. */
@@ -129,6 +131,30 @@
         "an announced length takes no memory from requests that come whole");
   }
 
+  /** Guards against: a connection is closed because a second answer does not fit behind a first. */
+  @Test
+  void answersAllPipelinedRequestsOfClientThatReadsLate() throws Exception {
+    startAndAwaitReady(new TestConfig(entryOfA()));
+    Socket client = connect();
+    StringBuilder requests = new StringBuilder();
+    for (int i = 0; i < PIPELINED; i++) {
+      requests.append(request("/read/full64"));
+    }
+
+    send(client, requests.toString());
+    int answered = -1;
+    while (answered != endpointA.requests.size()) { // until the sidecar can't write any more
+      answered = endpointA.requests.size();
+      Thread.sleep(SETTLE_MS);
+    }
+
+    for (int i = 0; i < PIPELINED; i++) {
+      String answer = readResponse(client);
+      assertEquals("200", statusOf(answer), "request " + i);
+      assertTrue(answer.endsWith("x".repeat(TestEndpoint.LARGEST_BUFFERED_BYTES)));
+    }
+  }
+
   private String halfOfChunkedRequest() {
     StringBuilder fields = new StringBuilder();
     for (int i = 0; i < HEAD_FIELDS; i++) {
--- a/sidecar/src/test/java/dillcross/cli/TestEndpoint.java
+++ b/sidecar/src/test/java/dillcross/cli/TestEndpoint.java
@@ -26,6 +26,9 @@
   /** The length of the body of {@code /medium}: more than a buffer holds at first. */
   static final int MEDIUM_BODY_BYTES = 7_000;
 
+  /** The length of the body of {@code /full64}, the longest that is buffered completely. */
+  static final int LARGEST_BUFFERED_BYTES = 64 << 10;
+
   /** The number of body bytes that are sent of a truncated response. */
   static final int BROKEN_BODY_BYTES = 80_000;
 
@@ -88,6 +91,7 @@
       case "reset" -> "";
       case "large" -> response(200, "", "x".repeat(LARGE_BODY_BYTES));
       case "medium" -> response(200, "", "x".repeat(MEDIUM_BODY_BYTES));
+      case "full64" -> response(200, "", "x".repeat(LARGEST_BUFFERED_BYTES));
       case "brokenlength" ->
           "HTTP/1.1 200 x\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(BROKEN_BODY_BYTES);
       case "brokenchunks" ->
