Reject usual requests for lack of memory at one place, when all of it is taken

Change: MemoryUse.REQUEST_HEAD guarantees heads of up to 4 KiB of heap; ClientListener rejects when the budget is exhausted.

--- a/sidecar/src/main/java/dillcross/net/buffer/MemoryHold.java
+++ b/sidecar/src/main/java/dillcross/net/buffer/MemoryHold.java
@@ -15,11 +15,11 @@
   }
 
   /**
-   * Takes {@code bytes} more of a request from the budget; returns false, and takes none, if it
+   * Takes {@code bytes} from the budget for a request's head; returns false, and takes none, if it
    * refuses.
    */
-  public boolean tryAdd(int bytes) {
-    boolean isTaken = !isClosed && budget.tryGrow(MemoryUse.REQUEST_INPUT, held, held + bytes);
+  public boolean tryAddHead(int bytes) {
+    boolean isTaken = !isClosed && budget.tryGrow(MemoryUse.REQUEST_HEAD, held, held + bytes);
     if (isTaken) {
       held += bytes;
     }
--- a/sidecar/src/main/java/dillcross/net/buffer/MemoryUse.java
+++ b/sidecar/src/main/java/dillcross/net/buffer/MemoryUse.java
@@ -11,6 +11,9 @@
    */
   REQUEST_INPUT(0, 5 / 8.0, 4 / 8.0),
 
+  /** Parsed heads of requests. That of a usual request always fits. */
+  REQUEST_HEAD(4 << 10, 5 / 8.0, 4 / 8.0),
+
   /** Requests on their way to an endpoint. A head always fits. */
   REQUEST_OUTPUT(16 << 10, 6 / 8.0, 6 / 8.0),
 
--- a/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
@@ -319,7 +319,7 @@
   private void holdHead(int headBytes) {
     held.release();
     if (parsesRequests) {
-      isHeadRefused = !held.tryAdd(headBytes);
+      isHeadRefused = !held.tryAddHead(headBytes);
     } else {
       held.add(headBytes);
     }
--- a/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
+++ b/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
@@ -10,6 +10,8 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.util.ArrayList;
@@ -39,6 +41,8 @@
   private static final int LONG_REQUESTS = 200;
   private static final int LONG_REQUEST_INTERVAL_MS = 8;
   private static final int ANNOUNCED_BYTES = 64_000;
+  private static final String REJECTION = "HTTP/1.1 503";
+  private static final int MAX_UNREAD_ANSWERS = 320;
   private static final int PIPELINED = 250; // their answers are longer than the sockets' buffers
   private static final int SETTLE_MS = 200;
   private static final int USUAL_INTERVAL_MS = 50;
@@ -131,6 +135,44 @@
         "an announced length takes no memory from requests that come whole");
   }
 
+  /** Guards against: requests are forwarded, and their answers dropped, when no memory is left. */
+  @Test
+  void rejectsRequestsBeforeTheyAreForwardedWhileAnswersFillTheMemory() throws Exception {
+    LongAnswerEndpoint endpoint = open(new LongAnswerEndpoint());
+    startAndAwaitReady(
+        new TestConfig(inService("long", endpoint.address()))
+            .maxSockets(MAX_SOCKETS)
+            .replace("{\"sockets\"", "{\"memory_mb\":64,\"sockets\"")
+            .replace("\"cancel\":true", "\"cancel\":true,\"retry_after\":true")
+            .replace("\"max_pushes\"", "\"max_retry_after_ms\":1000,\"max_pushes\""));
+    List<Socket> readers = new ArrayList<>();
+    String answer = "";
+    while (!answer.startsWith(REJECTION)) {
+      assertTrue(readers.size() < MAX_UNREAD_ANSWERS, "not rejected, but " + answer);
+      Socket reader = connectWithSmallWindow();
+      readers.add(reader);
+      send(reader, request("/read/long"));
+      assertTrue(reader.getInputStream().read() >= 0, "an answer begins, whatever it is");
+      answer = exchange(connect(), request("/read/short"));
+      assertTrue(List.of("200", "503").contains(statusOf(answer)), answer);
+    }
+    assertTrue(answer.contains("retry-after: 1.000\r\n"), answer);
+
+    for (Socket reader : readers) {
+      reader.close();
+    }
+    await(() -> statusOfNewClient(request("/read/short")).equals("200"));
+  }
+
+  /** Opens a connection whose unread input stays with the sidecar, and not in the sockets. */
+  private Socket connectWithSmallWindow() throws IOException {
+    Socket socket = new Socket();
+    toClose.add(socket);
+    socket.setReceiveBufferSize(1);
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), sidecar.port));
+    return socket;
+  }
+
   /** Guards against: a connection is closed because a second answer does not fit behind a first. */
   @Test
   void answersAllPipelinedRequestsOfClientThatReadsLate() throws Exception {
--- a/sidecar/src/test/java/dillcross/net/buffer/MemoryBudgetTest.java
+++ b/sidecar/src/test/java/dillcross/net/buffer/MemoryBudgetTest.java
@@ -55,6 +55,10 @@
     assertTrue(fits(MemoryUse.RESPONSE_OUTPUT, BUFFER_BYTES));
     assertTrue(fits(MemoryUse.RESPONSE_INPUT, 20 << 10), "the head of a response");
     assertTrue(fits(MemoryUse.REQUEST_OUTPUT, 8 << 10), "the head of a request");
+    MemoryHold hold = new MemoryHold(budget);
+    assertTrue(hold.tryAddHead(2000), "a usual request is rejected by the listener, with a reason");
+    assertFalse(hold.tryAddHead(30_000));
+    hold.close();
     assertEquals(MAX_BYTES, budget.taken(), "what was taken beyond the limit is returned");
   }
 
@@ -80,11 +84,11 @@
   @Test
   void holdTakesNothingAfterItsClose() {
     MemoryHold hold = new MemoryHold(budget);
-    assertTrue(hold.tryAdd(1000));
+    assertTrue(hold.tryAddHead(1000));
     hold.add(500);
     assertEquals(1500, budget.taken());
     hold.close();
-    assertFalse(hold.tryAdd(1));
+    assertFalse(hold.tryAddHead(1));
     hold.add(1);
     assertEquals(0, budget.taken());
   }
--- a/sidecar/src/test/java/dillcross/net/http/HttpMessageParserTest.java
+++ b/sidecar/src/test/java/dillcross/net/http/HttpMessageParserTest.java
@@ -380,6 +380,19 @@
     assertEquals(0, budget.taken());
   }
 
+  /** Guards against: heads of many fields are parsed although there is no memory for them. */
+  @Test
+  void refusesHeadForWhichThereIsNoMemory() {
+    MemoryBudget budget = new MemoryBudget(0);
+    HttpMessageParser parser = new HttpMessageParser(true, 1 << 16, 1 << 20, budget);
+    String head = "GET /b HTTP/1.1|Host: a|" + "X: n|".repeat(100) + "|";
+
+    assertNull(read(parser, head, false));
+
+    assertTrue(parser.isStarved());
+    assertEquals(0, budget.taken());
+  }
+
   /** A response is not refused where there is no memory to collect it: it is streamed. */
   @Test
   void streamsResponseThatCannotBeCollected() {
