Count a request's memory until its last attempt has ended, and drop nothing early

Change: InboundRequest counts its users, the client and each attempt, and returns its memory after the last. PlantedTest: "a request that is never over" takes out the same call as before, at its present place.

--- a/emulator/src/test/java/dillcross/emulator/PlantedTest.java
+++ b/emulator/src/test/java/dillcross/emulator/PlantedTest.java
@@ -124,8 +124,8 @@
         fault(
             "a request that is never over",
             "net/client/ClientListener.java",
-            "caller.connection().endExchange(); openIds.remove(caller.request().field(HeaderNames.REQUEST_ID));",
-            "caller.connection().endExchange();",
+            "openIds.remove(pending.clientId()); pending.inbound().release();",
+            "pending.inbound().release();",
             "BACK_TO_REST"),
         fault(
             "a body that loses a byte",
--- a/sidecar/src/main/java/dillcross/net/WarmUpProbe.java
+++ b/sidecar/src/main/java/dillcross/net/WarmUpProbe.java
@@ -80,7 +80,7 @@
    */
   private void send(long nowUs) {
     HttpRequest request = HttpRequest.get(path, Map.of(HeaderNames.HOST, address));
-    InboundRequest content = new InboundRequest(request, null);
+    InboundRequest content = new InboundRequest(request);
     sent++;
     attempts.start(
         new NetworkCommand.SendAttempt(
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -213,7 +213,8 @@
     long requestedUs = Math.min(maxTimeoutUs, requestedMs * MICROS_PER_MILLI);
     long timeoutUs = lifecycle.limitTimeout(requestedUs, maxTimeoutUs, clock.getAsLong());
     openIds.add(clientId);
-    InboundRequest inbound = new InboundRequest(request, connection);
+    InboundRequest inbound =
+        new InboundRequest(request, connection, connection.parser().takeHold());
     IncomingRequest incoming =
         new IncomingRequest(
             Caller.of(connection, request),
@@ -227,11 +228,11 @@
     connection.beginExchange(new PendingRequest(requestId, clientId, inbound));
   }
 
-  /** Ends the exchange of a connection, if there is one, and drops its request. */
+  /** Ends the exchange of a connection, if there is one: its client needs the request no more. */
   private void endExchange(Connection connection) {
     if (connection.exchange() instanceof PendingRequest pending) {
       openIds.remove(pending.clientId());
-      pending.inbound().drop();
+      pending.inbound().release();
     }
     connection.endExchange();
   }
--- a/sidecar/src/main/java/dillcross/net/connection/InboundRequest.java
+++ b/sidecar/src/main/java/dillcross/net/connection/InboundRequest.java
@@ -1,27 +1,37 @@
 package dillcross.net.connection;
 
+import dillcross.net.buffer.MemoryHold;
 import dillcross.net.http.HttpRequest;
 
 /**
- * A request as it is sent to endpoints. It is dropped when its client has the answer, although an
- * attempt that can't be cancelled may still refer to this object. Belongs to the selector thread.
+ * A request as it is sent to endpoints. Counts who still refers to it, its client and its attempts,
+ * and returns its memory to the budget after the last of them: an attempt that can't be cancelled
+ * may last longer than its client waits. Belongs to the selector thread.
  */
 public final class InboundRequest {
+  private final HttpRequest request;
   private final Connection source;
-  private HttpRequest request; // null once it was dropped
+  private final MemoryHold hold; // null for a request that the sidecar makes itself
+  private int users = 1;
 
   /**
-   * Creates a request that can be sent.
+   * Creates a request with one user, the client.
    *
-   * @param source the client's connection, on which the rest of a streamed body arrives; null for a
-   *     request that the sidecar makes itself
+   * @param source the client's connection, on which the rest of a streamed body arrives
+   * @param hold the memory of the request, which is taken over
    */
-  public InboundRequest(HttpRequest request, Connection source) {
+  public InboundRequest(HttpRequest request, Connection source, MemoryHold hold) {
     this.request = request;
     this.source = source;
+    this.hold = hold;
   }
 
-  /** The request; null once it was dropped. */
+  /** Creates a request that the sidecar makes itself. */
+  public InboundRequest(HttpRequest request) {
+    this(request, null, null);
+  }
+
+  /** The request. */
   public HttpRequest request() {
     return request;
   }
@@ -31,8 +41,16 @@
     return source;
   }
 
-  /** Drops the request, because no attempt will be sent any more. */
-  public void drop() {
-    request = null;
+  /** Adds a user, which has to call {@link #release} once. */
+  public void retain() {
+    users++;
+  }
+
+  /** Removes a user; after the last one the memory of the request counts as free. */
+  public void release() {
+    users--;
+    if (users == 0 && hold != null) {
+      hold.close();
+    }
   }
 }
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -90,6 +90,7 @@
     InFlightAttempt attempt =
         new InFlightAttempt(command, endpoint, clock.getAsLong(), connectTimeoutUs);
     attempts.put(AttemptId.of(attempt), attempt);
+    attempt.request().retain();
     Optional<Connection> idle = pool.take(endpoint);
     if (idle.isPresent()) {
       attempt.takeConnection(idle.get());
@@ -160,7 +161,7 @@
 
   private void send(InFlightAttempt attempt) {
     Connection connection = attempt.connection();
-    InboundRequest inbound = (InboundRequest) attempt.command().content();
+    InboundRequest inbound = attempt.request();
     HttpRequest request = inbound.request();
     Map<String, String> fields = request.forwardedFields();
     long remainingUs = attempt.command().deadlineUs() - clock.getAsLong();
@@ -231,6 +232,7 @@
       return;
     }
     AttemptResult result = new AttemptResult(kind, attempt.progress(), response);
+    attempt.request().release();
     connecting.remove(attempt);
     if (attempt.connection() != null) {
       detach(attempt, kind, response);
--- a/sidecar/src/main/java/dillcross/net/endpoint/InFlightAttempt.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/InFlightAttempt.java
@@ -1,6 +1,7 @@
 package dillcross.net.endpoint;
 
 import dillcross.net.connection.Connection;
+import dillcross.net.connection.InboundRequest;
 import dillcross.net.connection.InboundResponse;
 import dillcross.sidecar.NetworkCommand;
 import dillcross.sidecar.WriteProgress;
@@ -34,6 +35,11 @@
     return command;
   }
 
+  /** The request that is sent. */
+  InboundRequest request() {
+    return (InboundRequest) command.content();
+  }
+
   /** The pool's object for the endpoint, from when the attempt was started. */
   EndpointConnectionPool.Endpoint endpoint() {
     return endpoint;
--- a/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
@@ -33,7 +33,7 @@
   private final long maxBody;
   private final MemoryBudget budget;
   private final MemoryUse use;
-  private final MemoryHold held; // the head, and the body of a request until it is released
+  private MemoryHold held; // of the message that is read, or was read last
   private HttpMessage head; // the message whose body is being read; null between messages
   private long remaining; // bytes left of the body or chunk, or HttpMessage.UNTIL_CLOSE
   private long received; // bytes of the body that were taken
@@ -169,10 +169,7 @@
     return message;
   }
 
-  /**
-   * Counts the body of a request from now on, until {@link #releaseMessage}; a response is
-   * forwarded at once.
-   */
+  /** Counts the body of a request from now on; a response is forwarded at once. */
   private void moveToHold(int bodyBytes) {
     if (parsesRequests) {
       held.add(bodyBytes);
@@ -184,9 +181,14 @@
     }
   }
 
-  /**
-   * Returns the memory of the last message to the budget, because nothing refers to it any more.
-   */
+  /** Hands over the memory of the last message to the caller, who has to close it. */
+  public MemoryHold takeHold() {
+    MemoryHold taken = held;
+    held = new MemoryHold(budget);
+    return taken;
+  }
+
+  /** Returns the memory of the last message to the budget, unless it was handed over. */
   public void releaseMessage() {
     held.release();
   }
--- a/sidecar/src/test/java/dillcross/net/endpoint/AttemptExecutorTest.java
+++ b/sidecar/src/test/java/dillcross/net/endpoint/AttemptExecutorTest.java
@@ -13,6 +13,7 @@
 import dillcross.model.TestSettings;
 import dillcross.net.FakeNetwork;
 import dillcross.net.buffer.MemoryBudget;
+import dillcross.net.buffer.MemoryHold;
 import dillcross.net.buffer.MemoryUse;
 import dillcross.net.buffer.RingBuffer;
 import dillcross.net.connection.InboundRequest;
@@ -100,7 +101,7 @@
   }
 
   private static InboundRequest request(String requestClass) {
-    return new InboundRequest(HttpRequest.get("/" + requestClass, Map.of("host", "a")), null);
+    return new InboundRequest(HttpRequest.get("/" + requestClass, Map.of("host", "a")));
   }
 
   private void receiveRequest(String requestClass) {
@@ -285,7 +286,7 @@
     coordinator.onRequest(
         now,
         new IncomingRequest(
-            "client", new InboundRequest(large, null), null, "read", 5_000_000, false, false));
+            "client", new InboundRequest(large), null, "read", 5_000_000, false, false));
     runIteration();
     channels.get(0).connect();
     runIteration();
@@ -297,4 +298,24 @@
     receiveRequest("read");
     assertEquals(1, channels.get(0).requests(), "the endpoint and its connection are still used");
   }
+
+  /** Guards against: requests of clients that have gone fill the heap, while attempts go on. */
+  @Test
+  void countsMemoryOfRequestUntilItsLastAttemptHasEnded() {
+    MemoryHold hold = new MemoryHold(budget);
+    hold.add(5000);
+    InboundRequest inbound = new InboundRequest(request("read").request(), null, hold);
+    coordinator.onRequest(
+        now, new IncomingRequest("client", inbound, null, "read", 5_000_000, false, false));
+    runIteration();
+    channels.get(0).connect();
+    runIteration();
+
+    inbound.release(); // the client needs it no more
+    assertEquals(5000, budget.taken());
+
+    channels.get(0).receive(OK);
+    runIteration();
+    assertEquals(0, budget.taken());
+  }
 }
