--- a/sidecar/src/test/java/dillcross/cli/ClientConnectionsIT.java
+++ b/sidecar/src/test/java/dillcross/cli/ClientConnectionsIT.java
@@ -11,12 +11,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -216,7 +213,7 @@
       completeRequest(clients.get(i), startTimesNs.get(i));
     }
 
-    int peakKilobytes = peakMemoryKilobytes();
+    int peakKilobytes = sidecar.peakMemoryKilobytes();
     assertTrue(peakKilobytes < 192 << 10, "peak memory: " + peakKilobytes + " kB");
     assertEquals("200", statusOfNewClient(request("/read/ok")));
     assertTrue(sidecar.process.isAlive());
@@ -234,12 +231,4 @@
       client.close(); // the sidecar rejected the request before its last byte
     }
   }
-
-  private int peakMemoryKilobytes() throws IOException {
-    Matcher peak =
-        Pattern.compile("VmHWM:\\s*([0-9]+) kB")
-            .matcher(Files.readString(sidecar.procFile("status")));
-    assertTrue(peak.find());
-    return Integer.parseInt(peak.group(1));
-  }
 }
--- a/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
+++ b/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
@@ -13,15 +13,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -67,7 +64,7 @@
       }
     }
 
-    int peakKilobytes = peakMemoryKilobytes();
+    int peakKilobytes = sidecar.peakMemoryKilobytes();
     assertTrue(peakKilobytes < MAX_PEAK_KILOBYTES, "peak memory: " + peakKilobytes + " kB");
     sidecar.signal("TERM");
     assertEquals(
@@ -226,12 +223,4 @@
     long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
     assertTrue(elapsedMs < MAX_ANSWER_MS, "answered after " + elapsedMs + " ms");
   }
-
-  private int peakMemoryKilobytes() throws IOException {
-    Matcher peak =
-        Pattern.compile("VmHWM:\\s*([0-9]+) kB")
-            .matcher(Files.readString(sidecar.procFile("status")));
-    assertTrue(peak.find());
-    return Integer.parseInt(peak.group(1));
-  }
 }
--- a/sidecar/src/test/java/dillcross/cli/SidecarProcess.java
+++ b/sidecar/src/test/java/dillcross/cli/SidecarProcess.java
@@ -24,6 +24,7 @@
   private static final Pattern RUN_COMMAND = Pattern.compile("run = \"exec java (.*) serve\"");
   private static final Pattern ADMIN_PORT = Pattern.compile("endpoint on 127.0.0.1:([0-9]+)");
   private static final Pattern CLIENT_PORT = Pattern.compile("ready on 127.0.0.1:([0-9]+)");
+  private static final Pattern PEAK_MEMORY = Pattern.compile("VmHWM:\\s*([0-9]+) kB");
   private static final long EXIT_TIMEOUT_S = 20;
 
   final Process process;
@@ -112,6 +113,13 @@
     return Path.of("/proc", String.valueOf(process.pid()), name);
   }
 
+  /** The largest resident memory of the process so far, in kB. */
+  int peakMemoryKilobytes() throws IOException {
+    Matcher peak = PEAK_MEMORY.matcher(Files.readString(procFile("status")));
+    assertTrue(peak.find());
+    return Integer.parseInt(peak.group(1));
+  }
+
   /** Kills the process and all processes that it has started. */
   void kill() throws InterruptedException {
     process.descendants().forEach(ProcessHandle::destroyForcibly);
