Connection: its input gets a class of its own

Two planted faults of the emulator's oracle name the text at its new place.

Unit tests of sidecar and emulator pass, traces of the emulator included.

--- a/emulator/src/test/java/dillcross/emulator/PlantedTest.java
+++ b/emulator/src/test/java/dillcross/emulator/PlantedTest.java
@@ -92,7 +92,7 @@
             "BACK_TO_REST WITHIN_LIMITS"),
         fault(
             "a lost wake-up",
-            "net/connection/Connection.java",
+            "net/connection/ConnectionInput.java",
             "isPaused = false; setReadInterest(true);",
             "setReadInterest(false);",
             "ONE_ANSWER BACK_TO_REST",
@@ -106,8 +106,8 @@
         fault(
             "an answer for another request",
             "net/endpoint/AttemptExecutor.java",
-            "return (isUnused || isExchangeOver) && !connection.hasInputEnded();",
-            "return (isUnused || isExchangeOver || kind == AttemptResult.Kind.ABANDONED) && !connection.hasInputEnded();",
+            "return (isUnused || isExchangeOver) && !connection.input().hasEnded();",
+            "return (isUnused || isExchangeOver || kind == AttemptResult.Kind.ABANDONED) && !connection.input().hasEnded();",
             "TRUE_CONTENT"),
         fault(
             "one attempt above the maximum",
--- a/sidecar/src/main/java/dillcross/net/client/ClientConnections.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientConnections.java
@@ -115,8 +115,8 @@
    * whether the connection was closed.
    */
   static boolean closeIfIdle(Connection connection) {
-    if (connection.hasUnreadInput()) {
-      connection.scheduleRead();
+    if (connection.input().hasUnread()) {
+      connection.input().schedule();
       return false;
     }
     connection.close();
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -158,7 +158,7 @@
           HttpResponse.text(
               isHealthy ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE,
               isHealthy ? "ready" : "not ready"));
-    } else if (connection.hasInputEnded()) {
+    } else if (connection.input().hasEnded()) {
       connection.close(); // a client that ends its output counts as disconnected
     } else {
       serve(connection, request);
@@ -275,15 +275,15 @@
     return lifecycle.closesConnections()
         || !caller.keepsAlive()
         || isLeastUsed
-        || connection.hasOverrun();
+        || connection.input().hasOverrun();
   }
 
   private void continueReading(Connection connection) {
     connections.resumeAccepting();
     if (!connection.isClosing()) {
-      connection.resumeReading();
+      connection.input().resume();
       if (connection.in().size() > 0) {
-        connection.scheduleRead();
+        connection.input().schedule();
       }
     }
   }
@@ -365,7 +365,7 @@
   private void expireStreaming(
       Connection connection, PendingRequest pending, long nowUs, long stalledUs) {
     boolean isBodyIncomplete = connection.parser().isStreaming();
-    if (isBodyIncomplete && !connection.isPaused() && stalledUs > STALL_TIMEOUT_US) {
+    if (isBodyIncomplete && !connection.input().isPaused() && stalledUs > STALL_TIMEOUT_US) {
       endExchange(connection);
       coordinator.onClientDisconnected(nowUs, pending.requestId());
       rejectAndClose(
--- a/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
+++ b/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
@@ -97,17 +97,17 @@
       target.out().add(LAST_CHUNK); // freeBytes left space for it
     }
     boolean isBroken =
-        parser.fault() != 0 || (!isComplete && available == 0 && source.hasInputEnded());
+        parser.fault() != 0 || (!isComplete && available == 0 && source.input().hasEnded());
     if (isComplete || isBroken) {
       finish(isComplete && !isBroken);
     } else {
       target.flush();
-      source.resumeReading();
+      source.input().resume();
     }
   }
 
   private int availableBody() {
-    return source.parser().availableBody(source.in(), source.hasInputEndedCleanly());
+    return source.parser().availableBody(source.in(), source.input().hasEndedCleanly());
   }
 
   /** How many of the available bytes fit; the output buffer grows for them, but not for more. */
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -15,14 +15,11 @@
  * that opened or accepted it. Belongs to the selector thread.
  */
 public final class Connection implements Network.ConnectionHandler, TransportChannel.WriteCallback {
-  private static final int MAX_PIPELINED_BYTES = 512 << 10; // input that follows an open request
-
   private final TransportChannel channel;
   private final MessageHandler handler;
   private final boolean isServerSide;
   private final MemoryBudget budget;
-  private final int standardWindow; // fits the largest buffered body with its head and framing
-  private final RingBuffer in;
+  private final ConnectionInput input;
   private final ConnectionOutput output;
   private final HttpMessageParser parser;
 
@@ -31,12 +28,7 @@
   private Object exchange; // a request in progress, or an attempt; null while there is none
   private boolean closesAfterResponse;
   private boolean isClosing; // closed once all output is written
-  private final InputDiscarder discarder = new InputDiscarder();
-  private boolean isPaused; // reading is paused until the input buffer has space
-  private boolean hasOverrun; // more input followed an open request than may be buffered
   private boolean isConnected;
-  private boolean hasInputEnded; // no more bytes will arrive
-  private boolean wasInputReset; // the input ended by an error, so a message may be cut short
 
   /**
    * Creates a connection whose connect has not succeeded yet.
@@ -57,11 +49,7 @@
     this.handler = handler;
     this.isServerSide = isServerSide;
     this.budget = budget;
-    standardWindow = 2 * maxBufferedBody;
-    in =
-        isServerSide
-            ? new RingBuffer(MAX_PIPELINED_BYTES, budget, MemoryUse.REQUEST_INPUT)
-            : new RingBuffer(standardWindow, budget, MemoryUse.RESPONSE_INPUT);
+    input = new ConnectionInput(this, channel, budget, maxBufferedBody);
     output =
         new ConnectionOutput(
             channel, budget, isServerSide ? MemoryUse.RESPONSE_OUTPUT : MemoryUse.REQUEST_OUTPUT);
@@ -70,7 +58,7 @@
 
   @Override
   public void onReadable() {
-    fill();
+    input.fill();
     HttpConnectionCodec.read(this);
   }
 
@@ -85,7 +73,12 @@
 
   /** The input buffer: bytes that have arrived and are not parsed yet. */
   public RingBuffer in() {
-    return in;
+    return input.buffer();
+  }
+
+  /** Reads the input, and pauses and resumes reading. */
+  public ConnectionInput input() {
+    return input;
   }
 
   /** The output buffer: bytes that the network has not taken over yet. */
@@ -117,16 +110,6 @@
     return isConnected;
   }
 
-  /** Whether the input has ended: the peer has closed its output, or the connection has failed. */
-  public boolean hasInputEnded() {
-    return hasInputEnded;
-  }
-
-  /** Whether the input has ended because the peer closed its output, and not by an error. */
-  boolean hasInputEndedCleanly() {
-    return hasInputEnded && !wasInputReset;
-  }
-
   /** The times and counts from which the connection's timeouts are derived. */
   public ConnectionActivity activity() {
     return activity;
@@ -160,57 +143,9 @@
 
   // Input
 
-  /**
-   * Reads what has arrived into the input buffer. An error counts as the end of the input, and is
-   * not thrown.
-   */
-  void fill() {
-    int before = in.size();
-    try {
-      if (isClosing || hasOverrun) {
-        hasInputEnded |= discardInput();
-      } else {
-        hasInputEnded |= in.read(channel, window());
-      }
-    } catch (IOException e) {
-      hasInputEnded = true;
-      wasInputReset = true;
-    }
-    activity.countBytes(Math.max(0, in.size() - before));
-  }
-
-  /**
-   * How many bytes of input may be buffered. While a client's request is open, this is more than
-   * one message, because a client's disconnect is seen only once all bytes that it sent before are
-   * read.
-   */
-  private int window() {
-    boolean isStreaming = parser.isStreaming();
-    boolean isRelayed = isStreaming && (!isServerSide || relays.hasInbound());
-    boolean isBehindRequest = isServerSide && (exchange != null || isStreaming);
-    if (!isRelayed && isBehindRequest && budget.isAmple()) {
-      return MAX_PIPELINED_BYTES;
-    }
-    return isStreaming ? relayWindow() : standardWindow;
-  }
-
-  /** The number of bytes of a relayed body that may wait in one buffer. */
-  int relayWindow() {
-    return BodyRelay.windowBytes(budget);
-  }
-
-  boolean isInputFull() {
-    return in.isFull() || in.size() >= window();
-  }
-
-  /**
-   * Reads what has arrived; returns true if that is one byte or more. Used before a close, which
-   * must not lose a request.
-   */
-  public boolean hasUnreadInput() {
-    int before = in.size();
-    fill();
-    return in.size() > before;
+  /** Whether a message has arrived in part, or its body is still being read. */
+  public boolean hasPartialMessage() {
+    return in().size() > 0 || parser.isInMessage();
   }
 
   /**
@@ -218,78 +153,16 @@
    * it is open and no unsolicited bytes have arrived.
    */
   public boolean isReusable() {
-    if (!isOpen() || hasInputEnded) {
+    if (!isOpen() || input.hasEnded()) {
       return false;
     }
-    fill();
-    return !hasInputEnded && in.size() == 0;
-  }
-
-  /** Whether input was discarded because more followed an open request than may be buffered. */
-  public boolean hasOverrun() {
-    return hasOverrun;
+    input.fill();
+    return !input.hasEnded() && in().size() == 0;
   }
 
-  /** Discards input after the last response; returns whether no more of it is to be read. */
-  private boolean discardInput() throws IOException {
-    in.clear();
-    int readCount = discarder.read(channel);
-    activity.countBytes(Math.max(0, readCount));
-    return readCount < 0 || (isClosing && discarder.isOverLimit());
-  }
-
-  /**
-   * Stops reading if the input buffer is full, so that the selector does not report the same bytes
-   * again.
-   */
-  public void pauseIfFull() {
-    boolean isBehindRequest = isServerSide && exchange != null && !parser.isStreaming();
-    if (isBehindRequest && in.size() >= MAX_PIPELINED_BYTES) {
-      // Discards this input, and all that is read later to see a disconnect; the connection closes
-      // after the response.
-      hasOverrun = true;
-      in.clear();
-    }
-    if (isInputFull() || (hasOverrun && discarder.isOverLimit()) || hasInputEnded) {
-      isPaused = true; // set also if paused already: the transport may have enabled reads again
-      setReadInterest(false);
-    }
-  }
-
-  /** Resumes reading if it is paused and the input buffer has space again. */
-  public void resumeReading() {
-    boolean isRelayBehind = parser.isStreaming() && in.size() > relayWindow() / 2;
-    if (isPaused && !hasInputEnded && !isInputFull() && !isRelayBehind) {
-      isPaused = false;
-      setReadInterest(true);
-    }
-  }
-
-  private void setReadInterest(boolean interested) {
-    try {
-      channel.setReadInterest(interested);
-    } catch (IOException gone) {
-      close();
-    }
-  }
-
-  /** Whether reading is paused until the buffer has space. */
-  public boolean isPaused() {
-    return isPaused;
-  }
-
-  /** Schedules the handling of the bytes that are left in the input buffer. */
-  public void scheduleRead() {
-    try {
-      channel.scheduleRead();
-    } catch (IOException gone) {
-      close();
-    }
-  }
-
-  /** Whether a message has arrived in part, or its body is still being read. */
-  public boolean hasPartialMessage() {
-    return in.size() > 0 || parser.isInMessage();
+  /** The number of bytes of a relayed body that may wait in one buffer. */
+  int relayWindow() {
+    return BodyRelay.windowBytes(budget);
   }
 
   /**
@@ -297,16 +170,16 @@
    * the connection after the answer. At most {@code maxBytes} are read.
    */
   public void discardRest(long maxBytes) {
-    discarder.limitTo(maxBytes);
+    input.limitDiscardedBytes(maxBytes);
     discardRest();
   }
 
   /** As {@link #discardRest(long)}, with the limit of its last call; 1 MiB if there was none. */
   public void discardRest() {
     isClosing = true;
-    in.clear();
+    in().clear();
     parser.release();
-    resumeReading();
+    input.resume();
   }
 
   // Output
@@ -366,8 +239,8 @@
   /** Reads the request that has waited until the client read the response before it. */
   private void readWaitingRequest() {
     if (isServerSide && exchange == null && !isClosing) {
-      resumeReading();
-      scheduleRead();
+      input.resume();
+      input.schedule();
     }
   }
 
@@ -441,7 +314,7 @@
    * reported.
    */
   public void releaseBuffers() {
-    in.release();
+    in().release();
     output.buffer().release();
     parser.release();
   }
--- /dev/null
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
@@ -0,0 +1,179 @@
+package dillcross.net.connection;
+
+import dillcross.net.buffer.MemoryBudget;
+import dillcross.net.buffer.MemoryUse;
+import dillcross.net.buffer.RingBuffer;
+import dillcross.net.transport.TransportChannel;
+import java.io.IOException;
+
+/**
+ * The input of one connection: reads it into a buffer of limited size, and pauses reading while the
+ * buffer is full. Belongs to the selector thread.
+ */
+public final class ConnectionInput {
+  private static final int MAX_PIPELINED_BYTES = 512 << 10; // input that follows an open request
+
+  private final Connection connection;
+  private final TransportChannel channel;
+  private final MemoryBudget budget;
+  private final int standardWindow; // fits the largest buffered body with its head and framing
+  private final RingBuffer buffer;
+  private final InputDiscarder discarder = new InputDiscarder();
+  private boolean isPaused; // reading is paused until the buffer has space
+  private boolean hasOverrun; // more input followed an open request than may be buffered
+  private boolean hasEnded; // no more bytes will arrive
+  private boolean wasReset; // the input ended by an error, so a message may be cut short
+
+  /**
+   * Creates an input of which nothing was read.
+   *
+   * @param maxBufferedBody the size of the largest body that the buffer has to hold, in bytes
+   */
+  ConnectionInput(
+      Connection connection, TransportChannel channel, MemoryBudget budget, int maxBufferedBody) {
+    this.connection = connection;
+    this.channel = channel;
+    this.budget = budget;
+    standardWindow = 2 * maxBufferedBody;
+    buffer =
+        connection.isServerSide()
+            ? new RingBuffer(MAX_PIPELINED_BYTES, budget, MemoryUse.REQUEST_INPUT)
+            : new RingBuffer(standardWindow, budget, MemoryUse.RESPONSE_INPUT);
+  }
+
+  /** Bytes that have arrived and are not parsed yet. */
+  RingBuffer buffer() {
+    return buffer;
+  }
+
+  /** Whether the peer has closed its output, or the connection has failed. */
+  public boolean hasEnded() {
+    return hasEnded;
+  }
+
+  /** Whether the input has ended because the peer closed its output, and not by an error. */
+  boolean hasEndedCleanly() {
+    return hasEnded && !wasReset;
+  }
+
+  /** Whether input was discarded because more followed an open request than may be buffered. */
+  public boolean hasOverrun() {
+    return hasOverrun;
+  }
+
+  /** Whether reading is paused until the buffer has space. */
+  public boolean isPaused() {
+    return isPaused;
+  }
+
+  /**
+   * Reads what has arrived into the buffer. An error counts as the end of the input, and is not
+   * thrown.
+   */
+  void fill() {
+    int before = buffer.size();
+    try {
+      if (connection.isClosing() || hasOverrun) {
+        hasEnded |= discard();
+      } else {
+        hasEnded |= buffer.read(channel, window());
+      }
+    } catch (IOException e) {
+      hasEnded = true;
+      wasReset = true;
+    }
+    connection.activity().countBytes(Math.max(0, buffer.size() - before));
+  }
+
+  /**
+   * How many bytes of input may be buffered. While a client's request is open, this is more than
+   * one message, because a client's disconnect is seen only once all bytes that it sent before are
+   * read.
+   */
+  private int window() {
+    boolean isStreaming = connection.parser().isStreaming();
+    boolean isRelayed =
+        isStreaming && (!connection.isServerSide() || connection.relays().hasInbound());
+    boolean isBehindRequest =
+        connection.isServerSide() && (connection.exchange() != null || isStreaming);
+    if (!isRelayed && isBehindRequest && budget.isAmple()) {
+      return MAX_PIPELINED_BYTES;
+    }
+    return isStreaming ? connection.relayWindow() : standardWindow;
+  }
+
+  /** Whether the buffer takes no more bytes at the moment. */
+  boolean isFull() {
+    return buffer.isFull() || buffer.size() >= window();
+  }
+
+  /**
+   * Reads what has arrived; returns true if that is one byte or more. Used before a close, which
+   * must not lose a request.
+   */
+  public boolean hasUnread() {
+    int before = buffer.size();
+    fill();
+    return buffer.size() > before;
+  }
+
+  /** Sets how many bytes are discarded at most after the last response. */
+  void limitDiscardedBytes(long maxBytes) {
+    discarder.limitTo(maxBytes);
+  }
+
+  /** Discards input after the last response; returns whether no more of it is to be read. */
+  private boolean discard() throws IOException {
+    buffer.clear();
+    int readCount = discarder.read(channel);
+    connection.activity().countBytes(Math.max(0, readCount));
+    return readCount < 0 || (connection.isClosing() && discarder.isOverLimit());
+  }
+
+  /**
+   * Stops reading if the buffer is full, so that the selector does not report the same bytes again.
+   */
+  public void pauseIfFull() {
+    boolean isBehindRequest =
+        connection.isServerSide()
+            && connection.exchange() != null
+            && !connection.parser().isStreaming();
+    if (isBehindRequest && buffer.size() >= MAX_PIPELINED_BYTES) {
+      // Discards this input, and all that is read later to see a disconnect; the connection closes
+      // after the response.
+      hasOverrun = true;
+      buffer.clear();
+    }
+    if (isFull() || (hasOverrun && discarder.isOverLimit()) || hasEnded) {
+      isPaused = true; // set also if paused already: the transport may have enabled reads again
+      setReadInterest(false);
+    }
+  }
+
+  /** Resumes reading if it is paused and the buffer has space again. */
+  public void resume() {
+    boolean isRelayBehind =
+        connection.parser().isStreaming() && buffer.size() > connection.relayWindow() / 2;
+    if (isPaused && !hasEnded && !isFull() && !isRelayBehind) {
+      isPaused = false;
+      setReadInterest(true);
+    }
+  }
+
+  private void setReadInterest(boolean interested) {
+    try {
+      channel.setReadInterest(interested);
+    } catch (IOException gone) {
+      connection.close();
+    }
+  }
+
+  /** Schedules the handling of the bytes that are left in the buffer. */
+  public void schedule() {
+    try {
+      channel.scheduleRead();
+    } catch (IOException gone) {
+      connection.close();
+    }
+  }
+}
--- a/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
+++ b/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
@@ -31,28 +31,28 @@
     if (!connection.isClosing() && !isBusy && readMessage(connection)) {
       return;
     }
-    if (connection.hasInputEnded() || (connection.isInputFull() && !isBusy)) {
+    if (connection.input().hasEnded() || (connection.input().isFull() && !isBusy)) {
       connection.close();
     } else if (isBusy) {
-      connection.pauseIfFull();
+      connection.input().pauseIfFull();
     }
   }
 
   private static void continueBody(Connection connection) {
-    if (connection.isServerSide() && connection.hasInputEnded()) {
+    if (connection.isServerSide() && connection.input().hasEnded()) {
       connection.close(); // the client has disconnected; the rest of its request is not forwarded
       return;
     }
     reportBodyComplete(connection);
     connection.relays().transferInbound();
-    connection.pauseIfFull();
+    connection.input().pauseIfFull();
   }
 
   /** Parses the next message; returns true if it, or a fault in it, was passed to the handler. */
   private static boolean readMessage(Connection connection) {
     HttpMessageParser parser = connection.parser();
     Optional<HttpMessage> message =
-        parser.parse(connection.in(), connection.hasInputEndedCleanly());
+        parser.parse(connection.in(), connection.input().hasEndedCleanly());
     if (connection.isServerSide() && parser.takeExpectsContinue()) {
       connection.out().add(CONTINUE);
       connection.flush();
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -269,7 +269,7 @@
             && connection.isFullyWritten()
             && connection.in().size() == 0
             && !connection.parser().isStreaming();
-    return (isUnused || isExchangeOver) && !connection.hasInputEnded();
+    return (isUnused || isExchangeOver) && !connection.input().hasEnded();
   }
 
   @Override
@@ -292,7 +292,7 @@
             clock.getAsLong(), command.requestId(), command.attempt(), streaming);
     if (isWanted) {
       attempt.startStreaming(streaming);
-      connection.pauseIfFull();
+      connection.input().pauseIfFull();
     } else {
       end(attempt, AttemptResult.Kind.ERROR, null);
     }
@@ -402,7 +402,7 @@
     activity.noteProgress(nowUs);
     boolean isStalled =
         connection.parser().isStreaming()
-            && !connection.isPaused()
+            && !connection.input().isPaused()
             && activity.lastProgressUs() > 0
             && nowUs - activity.lastProgressUs() > pool.maxIdleUs();
     if (isStalled && connection.exchange() instanceof InFlightAttempt attempt) {
