--- a/emulator/src/main/java/dillcross/emulator/network/EmulatedSocket.java
+++ b/emulator/src/main/java/dillcross/emulator/network/EmulatedSocket.java
@@ -189,6 +189,16 @@
     }
   }
 
+  @Override
+  public int bytesTaken() {
+    return end.pendingBytesTaken();
+  }
+
+  @Override
+  public void retryWrite() {
+    // a write goes on as soon as the peer has read anything
+  }
+
   @Override
   public void setReadInterest(boolean isInterested) {
     hasReadInterest = isInterested;
--- a/emulator/src/main/java/dillcross/emulator/network/SocketEndpoint.java
+++ b/emulator/src/main/java/dillcross/emulator/network/SocketEndpoint.java
@@ -254,6 +254,11 @@
     pendingOutput = pendingOutput.hasRemaining() ? pendingOutput : null;
   }
 
+  /** The number of bytes sent so far of an output that waits for the window; 0 if none waits. */
+  int pendingBytesTaken() {
+    return pendingOutput == null ? 0 : pendingOutput.position();
+  }
+
   /** Ends the output of this side (half-close); input can still be read. */
   public void shutdownOutput() {
     if (isOpen && !hasOutputEnded) {
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -33,16 +33,16 @@
 public final class ClientListener implements MessageHandler, Network.ConnectionAcceptor {
   // How long the client has to read the last response and to close the connection.
   private static final long CLOSE_TIMEOUT_US = 500_000;
-  // The longest time without progress: before the first byte of a connection, within a request
-  // body, or while a response is written.
+  // The longest silence: before the first byte of a connection, or within a request body.
   private static final long STALL_TIMEOUT_US = 2_000_000;
   private static final long HEAD_TIMEOUT_US = 2_500_000; // for the head of a request
   // The longest time for a complete request to arrive: enough for up to 64 KiB of body from a slow
   // client, and slack.
   private static final long BODY_TIMEOUT_US = 4_000_000;
-  // The longest time without a request, or without the client reading a streamed response. Clients
-  // that send one request and stay connected would accumulate otherwise.
+  // The longest time without a request. Clients that send one request and stay connected would
+  // accumulate otherwise.
   private static final long IDLE_TIMEOUT_US = 20_000_000;
+  private static final long UNREAD_TIMEOUT_US = 20_000_000; // without the client reading a response
   private static final int MICROS_PER_MILLI = 1000;
   private static final String UNREADABLE_BODY = "malformed request, or no room for it";
   private static final String UNKNOWN_CLASS_BODY = "unknown category"; // the protocol's term
@@ -338,49 +338,49 @@
    * Closes connections that have timed out, because slow clients would use up the limit of
    * connections: with a 408 response if a request has not arrived in time, and without one if the
    * client has sent nothing or does not read its response. A streamed body or a response may be
-   * slow as long as it makes progress.
+   * slow as long as bytes of it arrive or are taken.
    */
   public void expire(long nowUs) {
     for (Connection connection : connections.snapshot()) {
-      ConnectionActivity activity = connection.activity();
-      activity.noteProgress(nowUs);
-      long stalledUs = nowUs - Math.max(activity.lastProgressUs(), activity.idleSinceUs());
-      if (connection.isClosing()) {
-        expireClosing(connection, stalledUs);
+      connection.noteProgress(nowUs);
+      if (connection.activity().outputStalledUs(nowUs) > UNREAD_TIMEOUT_US) {
+        connection.close(); // the client does not read the response
+      } else if (connection.isClosing()) {
+        expireClosing(connection, nowUs);
       } else if (connection.exchange() instanceof PendingRequest pending) {
-        expireStreaming(connection, pending, nowUs, stalledUs);
+        expireBody(connection, pending, nowUs);
       } else {
-        expireIdle(connection, nowUs, stalledUs);
+        expireIdle(connection, nowUs);
       }
     }
   }
 
-  private static void expireClosing(Connection connection, long stalledUs) {
-    if (stalledUs > (connection.out().size() > 0 ? STALL_TIMEOUT_US : CLOSE_TIMEOUT_US)) {
+  private static void expireClosing(Connection connection, long nowUs) {
+    ConnectionActivity activity = connection.activity();
+    long lastUs = Math.max(activity.lastProgressUs(), activity.idleSinceUs());
+    if (connection.out().size() == 0 && nowUs - lastUs > CLOSE_TIMEOUT_US) {
       connection.close();
     }
   }
 
-  /** Ends an exchange whose large request or response body has stalled. */
-  private void expireStreaming(
-      Connection connection, PendingRequest pending, long nowUs, long stalledUs) {
-    boolean isBodyIncomplete = connection.parser().isStreaming();
-    if (isBodyIncomplete && !connection.input().isPaused() && stalledUs > STALL_TIMEOUT_US) {
+  /** Ends an exchange whose large request body has stalled. */
+  private void expireBody(Connection connection, PendingRequest pending, long nowUs) {
+    if (!connection.parser().isStreaming()) {
+      return;
+    }
+    ConnectionActivity activity = connection.activity();
+    long silentUs = nowUs - Math.max(activity.lastInputUs(), activity.idleSinceUs());
+    if (!connection.input().isPaused() && silentUs > STALL_TIMEOUT_US) {
       endExchange(connection);
       coordinator.onClientDisconnected(nowUs, pending.requestId());
       rejectAndClose(
           connection, HttpResponse.text(HttpStatus.REQUEST_TIMEOUT, "the request stopped coming"));
-    } else if (isBodyIncomplete && stalledUs > Math.max(STALL_TIMEOUT_US, maxTimeoutUs)) {
-      // Reading is paused because no endpoint takes the body.
+    } else if (silentUs > Math.max(STALL_TIMEOUT_US, maxTimeoutUs)) {
       coordinator.onBodyStalled(pending.requestId());
-    } else if (connection.relays().hasOutbound()
-        && connection.out().size() > 0
-        && stalledUs > IDLE_TIMEOUT_US) {
-      connection.close(); // the client does not read the response
     }
   }
 
-  private void expireIdle(Connection connection, long nowUs, long stalledUs) {
+  private void expireIdle(Connection connection, long nowUs) {
     // A request that waits because the client reads too slowly does not arrive too late.
     boolean hasPartial = connection.hasPartialMessage() && !connection.isOutputBehind();
     boolean hasOutput = connection.out().size() > 0;
@@ -390,11 +390,7 @@
       if (nowUs - connection.activity().idleSinceUs() > allowedIdleUs(nowUs)) {
         ClientConnections.closeIfIdle(connection);
       }
-    } else if (hasOutput && !hasPartial) {
-      if (stalledUs > STALL_TIMEOUT_US) {
-        connection.close(); // the client does not read the response
-      }
-    } else {
+    } else if (hasPartial || !hasOutput) {
       expirePartial(connection, nowUs, isSilent);
     }
   }
@@ -426,7 +422,7 @@
     ConnectionActivity activity = connection.activity();
     long elapsedUs = nowUs - activity.partialSinceUs();
     if (connection.parser().isInMessage()) {
-      long lastUs = Math.max(activity.lastProgressUs(), activity.partialSinceUs());
+      long lastUs = Math.max(activity.lastInputUs(), activity.partialSinceUs());
       return elapsedUs > BODY_TIMEOUT_US || nowUs - lastUs > STALL_TIMEOUT_US;
     }
     return elapsedUs > (isSilent ? STALL_TIMEOUT_US : HEAD_TIMEOUT_US);
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -225,7 +225,7 @@
   @Override
   public void onWritten() {
     boolean wasBehind = isOutputBehind();
-    activity.countBytes(output.finishWrite());
+    activity.countOutput(output.finishWrite());
     flush();
     if (wasBehind && !isOutputBehind()) {
       readWaitingRequest();
@@ -244,6 +244,21 @@
     }
   }
 
+  /**
+   * Notes what the peer has sent and taken since the last call, and tries the unfinished write
+   * again. To be called several times within the shortest timeout that depends on {@link
+   * #activity}.
+   */
+  public void noteProgress(long nowUs) {
+    activity.countOutput(output.countProgress());
+    activity.noteProgress(nowUs, !output.isIdle());
+    try {
+      output.retryWrite(nowUs);
+    } catch (IOException gone) {
+      close();
+    }
+  }
+
   @Override
   public void onWriteFailed() {
     close(); // bytes left in the output buffer show that the message was not fully written
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionActivity.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionActivity.java
@@ -1,17 +1,21 @@
 package dillcross.net.connection;
 
 /**
- * The number of requests on a connection, and the times since when it has been idle or a message
- * has been incomplete. Times are in microseconds, and passed in by the caller. Belongs to the
- * selector thread.
+ * The number of requests on a connection, and the times since when it has been idle, a message has
+ * been incomplete or the peer has sent or taken nothing. Times are in microseconds, and passed in
+ * by the caller. Belongs to the selector thread.
  */
 public final class ConnectionActivity {
   private int requestCount;
   private long idleSinceUs;
   private long partialSinceUs; // 0 while no partial message is timed
-  private long progressBytes; // read or written since the connection was opened
-  private long seenProgressBytes; // progressBytes at the last call of noteProgress
-  private long lastProgressUs;
+  private long inputBytes; // since the connection was opened
+  private long outputBytes; // since the connection was opened
+  private long seenInputBytes; // at the last call of noteProgress
+  private long seenOutputBytes; // at the last call of noteProgress
+  private long lastInputUs;
+  private long lastOutputUs;
+  private long outputWaitsSinceUs; // 0 while no output waits
 
   ConnectionActivity() {}
 
@@ -56,24 +60,53 @@
     return partialSinceUs;
   }
 
-  /** Counts bytes that were read or written. */
-  void countBytes(int count) {
-    progressBytes += count;
+  /** Counts bytes that have arrived, or that were moved on to where they are relayed. */
+  void countInput(int count) {
+    inputBytes += count;
+  }
+
+  /** Counts bytes that the network has taken over. */
+  void countOutput(int count) {
+    outputBytes += count;
   }
 
   /**
-   * Records {@code nowUs} as the time of the last progress if bytes were read or written on the
-   * connection since the last call.
+   * Records {@code nowUs} as the time of the last input and of the last output if there was any
+   * since the last call.
+   *
+   * @param hasOutput whether output waits until the network takes it over
    */
-  public void noteProgress(long nowUs) {
-    if (progressBytes != seenProgressBytes) {
-      seenProgressBytes = progressBytes;
-      lastProgressUs = nowUs;
+  void noteProgress(long nowUs, boolean hasOutput) {
+    if (inputBytes != seenInputBytes) {
+      seenInputBytes = inputBytes;
+      lastInputUs = nowUs;
+    }
+    boolean isTaken = outputBytes != seenOutputBytes;
+    if (isTaken) {
+      seenOutputBytes = outputBytes;
+      lastOutputUs = nowUs;
     }
+    if (!hasOutput) {
+      outputWaitsSinceUs = 0;
+    } else if (isTaken || outputWaitsSinceUs == 0) {
+      outputWaitsSinceUs = nowUs;
+    }
+  }
+
+  /** When input was last noted; 0 if there was none. */
+  public long lastInputUs() {
+    return lastInputUs;
   }
 
-  /** When {@link #noteProgress} last found progress; 0 if it never did. */
+  /** When input or output was last noted; 0 if there was none. */
   public long lastProgressUs() {
-    return lastProgressUs;
+    return Math.max(lastInputUs, lastOutputUs);
+  }
+
+  /**
+   * For how long output has waited of which the network has taken over nothing; 0 if none waits.
+   */
+  public long outputStalledUs(long nowUs) {
+    return outputWaitsSinceUs == 0 ? 0 : nowUs - outputWaitsSinceUs;
   }
 }
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
@@ -82,7 +82,7 @@
       hasEnded = true;
       wasReset = true;
     }
-    connection.activity().countBytes(Math.max(0, buffer.size() - before));
+    connection.activity().countInput(Math.max(0, buffer.size() - before));
   }
 
   /**
@@ -126,7 +126,7 @@
   private boolean discard() throws IOException {
     buffer.clear();
     int readCount = discarder.read(channel);
-    connection.activity().countBytes(Math.max(0, readCount));
+    connection.activity().countInput(Math.max(0, readCount));
     return readCount < 0 || (connection.isClosing() && discarder.isOverLimit());
   }
 
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -398,8 +398,8 @@
 
   /** Ends an attempt whose streamed response has stalled, to free its connection. */
   private void endIfStalled(Connection connection, long nowUs) {
+    connection.noteProgress(nowUs);
     ConnectionActivity activity = connection.activity();
-    activity.noteProgress(nowUs);
     boolean isStalled =
         connection.parser().isStreaming()
             && !connection.input().isPaused()
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyChannel.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyChannel.java
@@ -6,6 +6,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
@@ -19,6 +20,7 @@
   private static final int RESET = 0; // the SO_LINGER seconds that make a close a reset
 
   private final NIOConnection connection;
+  private Buffer unfinished; // the bytes of the unfinished write; null if there is none
 
   GrizzlyChannel(NIOConnection connection) {
     this.connection = connection;
@@ -37,25 +39,40 @@
   @Override
   public void write(ByteBuffer bytes, WriteCallback callback) {
     TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
+    unfinished = Buffers.wrap(transport.getMemoryManager(), bytes);
     transport
         .getAsyncQueueIO()
         .getWriter()
         .write(
             connection,
-            Buffers.wrap(transport.getMemoryManager(), bytes),
+            unfinished,
             new EmptyCompletionHandler<WriteResult<WritableMessage, SocketAddress>>() {
               @Override
               public void completed(WriteResult<WritableMessage, SocketAddress> result) {
+                unfinished = null;
                 callback.onWritten();
               }
 
               @Override
               public void failed(Throwable failure) {
+                unfinished = null;
                 callback.onWriteFailed();
               }
             });
   }
 
+  @Override
+  public int bytesTaken() {
+    return unfinished == null ? 0 : unfinished.position();
+  }
+
+  @Override
+  public void retryWrite() throws IOException {
+    if (unfinished != null) {
+      connection.simulateIOEvent(IOEvent.WRITE);
+    }
+  }
+
   @Override
   public void setReadInterest(boolean interested) throws IOException {
     if (interested) {
--- a/sidecar/src/main/java/dillcross/net/transport/TransportChannel.java
+++ b/sidecar/src/main/java/dillcross/net/transport/TransportChannel.java
@@ -27,6 +27,19 @@
    */
   void write(ByteBuffer bytes, WriteCallback callback);
 
+  /**
+   * How many bytes of the unfinished write the network has taken over so far; 0 if no write is
+   * unfinished.
+   */
+  int bytesTaken();
+
+  /**
+   * Schedules another try of the unfinished write, if there is one. Without it the write goes on
+   * only when the network reports space, and a kernel does that only once about a third of its
+   * buffer is free, although it would take fewer bytes before. Calls no callback within this call.
+   */
+  void retryWrite() throws IOException;
+
   /** Sets whether the connection's handler is called when bytes or the end of the input arrive. */
   void setReadInterest(boolean interested) throws IOException;
 
--- a/sidecar/src/test/java/dillcross/net/FakeNetwork.java
+++ b/sidecar/src/test/java/dillcross/net/FakeNetwork.java
@@ -7,22 +7,35 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A network whose peers are played by the test: each connect adds a channel, which the test drives.
  */
 public final class FakeNetwork implements Network {
   public final List<FakeChannel> channels = new ArrayList<>();
+  private EventLoopTask task;
+  private final Map<String, ConnectionAcceptor> acceptors = new HashMap<>();
 
   /** A channel to an address; the test plays the peer. */
   public static final class FakeChannel implements TransportChannel {
+    private static final int SPACE_DIVISOR = 3; // the share of its buffer that a kernel frees first
+
     private final StringBuilder received = new StringBuilder(); // has arrived and is not read yet
     private final StringBuilder written = new StringBuilder(); // was sent and is not taken yet
     public final String address;
     public Network.ConnectCallback callback; // a test may set it to null once it was called
     private Network.ConnectionHandler handler;
     private boolean isOpen = true;
+    private int sendBufferBytes = Integer.MAX_VALUE;
+    private int unreadBytes; // that the kernel holds for the peer
+    private ByteBuffer unfinished; // the bytes of the unfinished write; null if there is none
+    private WriteCallback writeCallback;
+    private boolean isRetryScheduled;
+    private boolean isReadScheduled;
+    private boolean hasReadInterest = true;
 
     FakeChannel(String address) {
       this.address = address;
@@ -36,7 +49,9 @@
     /** Makes the text arrive from the peer. */
     public void receive(String text) {
       received.append(text);
-      handler.onReadable();
+      if (hasReadInterest && isOpen) {
+        handler.onReadable();
+      }
     }
 
     /** Makes the connection fail. */
@@ -44,14 +59,55 @@
       close();
     }
 
+    /** Bounds what the kernel holds for the peer, which from now on takes only what it reads. */
+    public void limitSendBuffer(int bytes) {
+      sendBufferBytes = bytes;
+    }
+
+    /** Makes the peer read up to {@code bytes}; the kernel then may report space. */
+    public void readByPeer(int bytes) {
+      unreadBytes = Math.max(0, unreadBytes - bytes);
+      if (sendBufferBytes - unreadBytes >= sendBufferBytes / SPACE_DIVISOR) {
+        continueWrite();
+      }
+    }
+
+    private void runScheduled() {
+      if (isRetryScheduled) {
+        isRetryScheduled = false;
+        continueWrite();
+      }
+      int unread = Integer.MAX_VALUE;
+      while (isOpen && (isReadScheduled || (hasReadInterest && received.length() < unread))) {
+        isReadScheduled = false;
+        unread = received.length();
+        handler.onReadable();
+      }
+    }
+
+    private void continueWrite() {
+      if (unfinished == null || !isOpen) {
+        return;
+      }
+      int count = Math.min(unfinished.remaining(), sendBufferBytes - unreadBytes);
+      byte[] taken = new byte[count];
+      unfinished.get(taken);
+      unreadBytes += sendBufferBytes == Integer.MAX_VALUE ? 0 : count;
+      written.append(new String(taken, StandardCharsets.ISO_8859_1));
+      if (!unfinished.hasRemaining()) {
+        unfinished = null;
+        writeCallback.onWritten();
+      }
+    }
+
     /** Returns what was written since the last call; empty if nothing was. */
-    public String takeRequest() {
-      String request = written.toString();
+    public String takeWritten() {
+      String taken = written.toString();
       written.setLength(0);
-      return request;
+      return taken;
     }
 
-    /** The number of requests that were written since {@link #takeRequest} was last called. */
+    /** The number of requests that were written since {@link #takeWritten} was last called. */
     public int requests() {
       return written.toString().split("HTTP/1.1\r\n", -1).length - 1;
     }
@@ -66,18 +122,29 @@
 
     @Override
     public void write(ByteBuffer bytes, WriteCallback callback) {
-      written.append(StandardCharsets.ISO_8859_1.decode(bytes));
-      callback.onWritten();
+      unfinished = bytes;
+      writeCallback = callback;
+      continueWrite();
+    }
+
+    @Override
+    public int bytesTaken() {
+      return unfinished == null ? 0 : unfinished.position();
+    }
+
+    @Override
+    public void retryWrite() {
+      isRetryScheduled = true;
     }
 
     @Override
     public void setReadInterest(boolean interested) {
-      // receive() always calls the handler
+      hasReadInterest = interested;
     }
 
     @Override
     public void scheduleRead() {
-      // receive() always calls the handler
+      isReadScheduled = true;
     }
 
     @Override
@@ -112,19 +179,63 @@
     channel.handler = callback.onOpening(channel);
   }
 
+  /** Runs one iteration of the event loop that {@link #start} was given. */
+  public void iterate() {
+    task.beforeEvents();
+    List.copyOf(channels).forEach(FakeChannel::runScheduled);
+    task.afterEvents();
+  }
+
+  /** Opens a connection to the socket that was bound to the address. */
+  public FakeChannel accept(String address) {
+    FakeChannel channel = new FakeChannel("from a peer");
+    channels.add(channel);
+    channel.handler = acceptors.get(address).onAccepted(channel);
+    return channel;
+  }
+
+  /** The newest channel to the address. */
+  public FakeChannel newest(String address) {
+    return channels.stream()
+        .filter(channel -> channel.address.equals(address))
+        .reduce((older, newer) -> newer)
+        .orElseThrow();
+  }
+
   @Override
-  public void start(EventLoopTask task) {
-    throw new UnsupportedOperationException();
+  public void start(EventLoopTask newTask) {
+    task = newTask;
   }
 
   @Override
   public void wakeUp() {
-    throw new UnsupportedOperationException();
+    // the test runs each iteration itself
   }
 
   @Override
-  public ListeningSocket bind(InetSocketAddress address, ConnectionAcceptor acceptor) {
-    throw new UnsupportedOperationException();
+  public ListeningSocket bind(InetSocketAddress address, ConnectionAcceptor newAcceptor) {
+    FakeListeningSocket socket =
+        new FakeListeningSocket(address.getHostString() + ":" + address.getPort());
+    acceptors.put(socket.address(), newAcceptor);
+    return socket;
+  }
+
+  /** A listening socket on which the test lets connections arrive. */
+  private record FakeListeningSocket(String address) implements ListeningSocket {
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
+    @Override
+    public void setAccepting(boolean accepting) {
+      // the test accepts what it opens
+    }
+
+    @Override
+    public void close() {
+      // no connections wait in a backlog
+    }
   }
 
   @Override
--- a/sidecar/src/test/java/dillcross/net/discovery/DiscoveryClientTest.java
+++ b/sidecar/src/test/java/dillcross/net/discovery/DiscoveryClientTest.java
@@ -124,7 +124,7 @@
             callback.onConnected();
           }
         }
-        String request = channel.takeRequest();
+        String request = channel.takeWritten();
         if (!request.isEmpty()) {
           calls.put(
               channel,
