Measure a slow endpoint by what its kernel has taken of a request body

Cause: while an endpoint is behind, the client's connection is not read, and ClientListener took a client's connection without input for a stalled body. Nobody asked the endpoint's connection, whose write of up to 128 KiB had not ended.

Change: a body counts as stalled when neither has the client sent anything nor the endpoint's connection taken anything for the longest deadline. A client's connection notes the progress of the one that its input is relayed to.

An endpoint that takes nothing still ends the attempt after the longest deadline.

Tests: SlowPeersTest#forwardsBodyToEndpointThatReadsSlowly failed before (503); #givesUpBodyThatEndpointDoesNotRead holds the other side; SlowPeersIT#forwardsBodiesToEndpointThatReadsSlowly on a real kernel.

--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -370,12 +370,13 @@
     }
     ConnectionActivity activity = connection.activity();
     long silentUs = nowUs - Math.max(activity.lastInputUs(), activity.idleSinceUs());
+    long stalledUs = Math.min(silentUs, connection.relays().inboundStalledUs(nowUs));
     if (!connection.input().isPaused() && silentUs > STALL_TIMEOUT_US) {
       endExchange(connection);
       coordinator.onClientDisconnected(nowUs, pending.requestId());
       rejectAndClose(
           connection, HttpResponse.text(HttpStatus.REQUEST_TIMEOUT, "the request stopped coming"));
-    } else if (silentUs > Math.max(STALL_TIMEOUT_US, maxTimeoutUs)) {
+    } else if (stalledUs > Math.max(STALL_TIMEOUT_US, maxTimeoutUs)) {
       coordinator.onBodyStalled(pending.requestId());
     }
   }
--- a/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
+++ b/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
@@ -47,6 +47,11 @@
     this.listener = listener;
   }
 
+  /** The connection that the body is written to. */
+  Connection target() {
+    return target;
+  }
+
   /** The number of bytes that may wait in a buffer of a relay at the moment. */
   static int windowBytes(MemoryBudget budget) {
     return budget.isScarce() ? SCARCE_WINDOW_BYTES : WINDOW_BYTES;
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -245,13 +245,14 @@
   }
 
   /**
-   * Notes what the peer has sent and taken since the last call, and tries the unfinished write
-   * again. To be called several times within the shortest timeout that depends on {@link
-   * #activity}.
+   * Notes what the peer has sent and taken since the last call, here and where the input is relayed
+   * to, and tries the unfinished writes again. To be called several times within the shortest
+   * timeout that depends on {@link #activity}.
    */
   public void noteProgress(long nowUs) {
     activity.countOutput(output.countProgress());
     activity.noteProgress(nowUs, !output.isIdle());
+    relays.noteInboundProgress(nowUs);
     try {
       output.retryWrite(nowUs);
     } catch (IOException gone) {
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionRelays.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionRelays.java
@@ -63,6 +63,21 @@
     }
   }
 
+  /** Notes the progress of the connection that the input is relayed to, if there is one. */
+  void noteInboundProgress(long nowUs) {
+    if (inbound != null) {
+      inbound.target().noteProgress(nowUs);
+    }
+  }
+
+  /**
+   * For how long the connection that the input is relayed to has taken nothing; {@code
+   * Long.MAX_VALUE} if there is none.
+   */
+  public long inboundStalledUs(long nowUs) {
+    return inbound == null ? Long.MAX_VALUE : inbound.target().activity().outputStalledUs(nowUs);
+  }
+
   /** Whether the input is relayed to another connection. */
   public boolean hasInbound() {
     return inbound != null;
--- a/sidecar/src/test/java/dillcross/cli/SlowPeersIT.java
+++ b/sidecar/src/test/java/dillcross/cli/SlowPeersIT.java
@@ -1,6 +1,7 @@
 package dillcross.cli;
 
 import static dillcross.cli.HttpMessages.readHead;
+import static dillcross.cli.HttpMessages.readResponse;
 import static dillcross.cli.HttpMessages.send;
 import static dillcross.cli.HttpMessages.statusOf;
 import static dillcross.cli.TestDiscovery.inService;
@@ -32,6 +33,8 @@
   private static final int SLOW_READ_MS = 24_000;
   private static final int UNREAD_MS = 25_000; // the sidecar cuts after 20 s
   private static final int START_INTERVAL_MS = 150; // a new endpoint gets no crowd at once
+  private static final int UPLOADS = 5;
+  private static final int SLOW_UPLOAD_MS = 7_000; // more than the sidecar waits without progress
 
   /** Guards against: a client that reads all the time is cut off, as its kernel reports late. */
   @Test
@@ -78,4 +81,33 @@
       throw new IllegalStateException(e);
     }
   }
+
+  /** Guards against: a body is given up as stalled while its endpoint reads it all the time. */
+  @Test
+  void forwardsBodiesToEndpointThatReadsSlowly() throws Exception {
+    LargeBodyEndpoint endpoint = open(new LargeBodyEndpoint(SLOW_UPLOAD_MS));
+    startAndAwaitReady(new TestConfig(inService("large", endpoint.address())));
+    int bodyBytes = 3 * largestSendBuffer();
+    ExecutorService threads = Executors.newCachedThreadPool();
+    List<CompletableFuture<String>> statuses = new ArrayList<>();
+    for (int i = 0; i < UPLOADS; i++) {
+      statuses.add(CompletableFuture.supplyAsync(() -> statusOfUpload(bodyBytes), threads));
+      Thread.sleep(START_INTERVAL_MS);
+    }
+
+    for (CompletableFuture<String> status : statuses) {
+      assertEquals("200", status.get());
+    }
+    threads.shutdown();
+  }
+
+  private String statusOfUpload(int bodyBytes) {
+    try {
+      Socket client = connect();
+      send(client, withBody(request("/buy/ok"), bodyBytes, "x".repeat(bodyBytes)));
+      return statusOf(readResponse(client));
+    } catch (IOException e) {
+      return "closed: " + e;
+    }
+  }
 }
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -1,5 +1,6 @@
 package dillcross.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,10 +12,14 @@
  */
 class SlowPeersTest {
   private static final int SEND_BUFFER_BYTES = 4 << 20;
+  private static final int RING_BYTES =
+      64 << 10; // that the sidecar holds of a long body for one peer
   private static final int PIECE_BYTES = 6_400; // every 100 ms: 64 kB a second
   private static final int PIECE_INTERVAL_MS = 100;
   private static final int LONG_BODY_BYTES = 12 << 20;
   private static final int UNREAD_TIMEOUT_MS = 20_000;
+  private static final int FIRST_BYTES = 70_000; // more than is buffered before it is forwarded
+  private static final String OK = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok";
 
   private final VirtualSidecar sidecar;
 
@@ -58,6 +63,45 @@
     assertFalse(exchange.client().isOpen());
   }
 
+  /** Guards against: a body is given up as stalled while its endpoint reads it all the time. */
+  @Test
+  void forwardsBodyToEndpointThatReadsSlowly() {
+    Exchange exchange = exchangeWithLongRequest(LONG_BODY_BYTES);
+    exchange.client().receive("x".repeat(LONG_BODY_BYTES - FIRST_BYTES));
+
+    // The last bytes are read at once, as the client's time counts from when they arrive here.
+    int slowBytes = LONG_BODY_BYTES - SEND_BUFFER_BYTES - 2 * RING_BYTES;
+    readSlowly(exchange.endpoint(), secondsToRead(slowBytes));
+    exchange.endpoint().readByPeer(LONG_BODY_BYTES);
+    sidecar.advance(PIECE_INTERVAL_MS);
+    answer(exchange.endpoint());
+
+    assertAnswered("200", exchange.client());
+    assertTrue(exchange.endpoint().takeWritten().length() > LONG_BODY_BYTES);
+  }
+
+  /** Guards against: a body that its endpoint does not read at all holds a client for good. */
+  @Test
+  void givesUpBodyThatEndpointDoesNotRead() {
+    Exchange exchange = exchangeWithLongRequest(LONG_BODY_BYTES);
+    exchange.client().receive("x".repeat(LONG_BODY_BYTES - FIRST_BYTES));
+
+    sidecar.advance(VirtualSidecar.MAX_TIMEOUT_MS - 500);
+    assertEquals("", exchange.client().takeWritten());
+    sidecar.advance(1000);
+    assertAnswered("503", exchange.client());
+  }
+
+  private void answer(FakeNetwork.FakeChannel endpoint) {
+    endpoint.receive(OK);
+    sidecar.advance(PIECE_INTERVAL_MS);
+  }
+
+  private static void assertAnswered(String status, FakeNetwork.FakeChannel client) {
+    String answer = client.takeWritten();
+    assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+  }
+
   private static int secondsToRead(int bytes) {
     return bytes / (PIECE_BYTES * 1000 / PIECE_INTERVAL_MS) + 1;
   }
@@ -83,4 +127,13 @@
     sidecar.advance(PIECE_INTERVAL_MS);
     return new Exchange(client, endpoint);
   }
+
+  /** Begins an exchange whose body has arrived in part, and is forwarded already. */
+  private Exchange exchangeWithLongRequest(int bodyBytes) {
+    FakeNetwork.FakeChannel client = sidecar.connect();
+    client.receive(sidecar.post(bodyBytes) + "x".repeat(FIRST_BYTES));
+    FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
+    endpoint.limitSendBuffer(SEND_BUFFER_BYTES - FIRST_BYTES);
+    return new Exchange(client, endpoint);
+  }
 }
