Do not tell a client that it stopped sending while its endpoint is behind

Seen by callers: 408 after 2 s for a body over 64 KiB that had come whole, or whose last bytes waited for a slow endpoint, though the request's time was not over.

Cause: 'reading is paused' stood for 'an endpoint is behind'. Reading is paused only when the input buffer is full; what arrived last rarely fills it.

Change: a body waits for its endpoint also while its relay holds bytes that the endpoint's connection has no space for, or once its last byte has arrived.

--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -371,7 +371,7 @@
     ConnectionActivity activity = connection.activity();
     long silentUs = nowUs - Math.max(activity.lastInputUs(), activity.idleSinceUs());
     long stalledUs = Math.min(silentUs, connection.relays().inboundStalledUs(nowUs));
-    if (!connection.input().isPaused() && silentUs > STALL_TIMEOUT_US) {
+    if (!waitsForEndpoint(connection) && silentUs > STALL_TIMEOUT_US) {
       endExchange(connection);
       coordinator.onClientDisconnected(nowUs, pending.requestId());
       rejectAndClose(
@@ -381,6 +381,13 @@
     }
   }
 
+  /** Whether a request body goes on only when an endpoint takes what has arrived of it. */
+  private static boolean waitsForEndpoint(Connection connection) {
+    return connection.input().isPaused()
+        || connection.relays().isInboundBehind()
+        || connection.parser().hasRestArrived(connection.in());
+  }
+
   private void expireIdle(Connection connection, long nowUs) {
     // A request that waits because the client reads too slowly does not arrive too late.
     boolean hasPartial = connection.hasPartialMessage() && !connection.isOutputBehind();
--- a/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
+++ b/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
@@ -34,6 +34,7 @@
   private final boolean chunked;
   private final Listener listener;
   private boolean isOver;
+  private boolean isTargetBehind; // bytes wait in the source's buffer for space in the target's
 
   /**
    * A relay that has not started.
@@ -52,6 +53,11 @@
     return target;
   }
 
+  /** Whether bytes of the body have arrived that the target has no space for. */
+  boolean isTargetBehind() {
+    return isTargetBehind;
+  }
+
   /** The number of bytes that may wait in a buffer of a relay at the moment. */
   static int windowBytes(MemoryBudget budget) {
     return budget.isScarce() ? SCARCE_WINDOW_BYTES : WINDOW_BYTES;
@@ -94,6 +100,7 @@
       moved = true;
       available = availableBody();
     }
+    isTargetBehind = available > 0;
     if (moved) {
       listener.onBytesReleased();
     }
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionRelays.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionRelays.java
@@ -78,6 +78,11 @@
     return inbound == null ? Long.MAX_VALUE : inbound.target().activity().outputStalledUs(nowUs);
   }
 
+  /** Whether input waits until the connection that it is relayed to can take it. */
+  public boolean isInboundBehind() {
+    return inbound != null && inbound.isTargetBehind();
+  }
+
   /** Whether the input is relayed to another connection. */
   public boolean hasInbound() {
     return inbound != null;
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Covers timeouts of connections whose peers take bytes slowly, or take none. The test controls the
@@ -92,6 +94,22 @@
     assertAnswered("503", exchange.client());
   }
 
+  /** Guards against: a client whose body has come whole is told that it stopped sending. */
+  @ParameterizedTest
+  @ValueSource(ints = {10_000, 30_000, 50_000, 70_000, 90_000, 110_000})
+  void doesNotTimeOutClientWhileEndpointIsBehind(int bytesBeyondKernel) {
+    int bodyBytes = SEND_BUFFER_BYTES + bytesBeyondKernel;
+    Exchange exchange = exchangeWithLongRequest(bodyBytes);
+    exchange.client().receive("x".repeat(bodyBytes - FIRST_BYTES));
+
+    sidecar.advance(2500);
+    exchange.endpoint().readByPeer(bodyBytes);
+    sidecar.advance(100);
+    answer(exchange.endpoint());
+
+    assertAnswered("200", exchange.client());
+  }
+
   private void answer(FakeNetwork.FakeChannel endpoint) {
     endpoint.receive(OK);
     sidecar.advance(PIECE_INTERVAL_MS);
