Do not end an attempt as silent while its client is behind

Seen by callers: an answer over 64 KiB was cut off when its client paused for longer than nine tenths of keepalive_ms (a client may pause for 20 s), if the endpoint had given all.

Cause: an endpoint counted as silent when nothing arrived from it and its connection was not paused. It is paused only when its input buffer is full; the end of an answer rarely fills it.

Change: while the relay holds bytes for the client the endpoint is not at fault, and its time counts from when they were moved on.

--- a/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
+++ b/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
@@ -136,6 +136,7 @@
       out.add(HttpMessage.chunkHead(count));
     }
     out.moveFrom(source.in(), count);
+    source.activity().countInput(count);
     source.parser().onBodyTaken(count);
     if (chunked) {
       out.add(LINE_END);
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -403,6 +403,7 @@
     boolean isStalled =
         connection.parser().isStreaming()
             && !connection.input().isPaused()
+            && !connection.relays().isInboundBehind()
             && activity.lastProgressUs() > 0
             && nowUs - activity.lastProgressUs() > pool.maxIdleUs();
     if (isStalled && connection.exchange() instanceof InFlightAttempt attempt) {
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -110,6 +110,21 @@
     assertAnswered("200", exchange.client());
   }
 
+  /** Guards against: an endpoint that has sent all counts as silent while the client is behind. */
+  @ParameterizedTest
+  @ValueSource(ints = {10_000, 30_000, 50_000, 70_000, 90_000, 110_000})
+  void doesNotTimeOutEndpointWhileClientIsBehind(int bytesBeyondKernel) {
+    int bodyBytes = SEND_BUFFER_BYTES + bytesBeyondKernel;
+    Exchange exchange = exchangeWithLongAnswer(bodyBytes);
+
+    sidecar.advance(2 * VirtualSidecar.KEEP_ALIVE_MS);
+    exchange.client().readByPeer(bodyBytes);
+    sidecar.advance(100);
+
+    assertTrue(exchange.client().takeWritten().length() > bodyBytes, "it gets the whole");
+    assertTrue(exchange.client().isOpen());
+  }
+
   private void answer(FakeNetwork.FakeChannel endpoint) {
     endpoint.receive(OK);
     sidecar.advance(PIECE_INTERVAL_MS);
