Count a client's idle time from when it can have read what the kernel holds

Seen by callers: a client reads an answer of 4 MB at 64 kB a second, of which the kernel holds the rest; after 20 s its connection is closed as idle. The kernel still delivers the answer, but a request sent meanwhile meets a reset, which destroys the rest of the answer too.

Cause: a connection counted as idle from when the sidecar's own buffer was empty.

Change: the kernel holds at most 4 MB by Linux's defaults, and a client may read at 64 kB a second. The idle time of 20 s counts from when such a client has read what was handed over. While connections are scarce it counts as before.

Test: SlowPeersTest#keepsConnectionWhileClientReadsFromKernel failed before; it also shows that the connection is closed in the end.

--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -395,7 +395,7 @@
     boolean isSilent = connection.exchange() == null && !hasPartial && !hasOutput;
     if (isSilent && connection.activity().requestCount() > 0) {
       connection.activity().clearPartialMessage();
-      if (nowUs - connection.activity().idleSinceUs() > allowedIdleUs(nowUs)) {
+      if (isIdleTooLong(connection.activity(), nowUs)) {
         ClientConnections.closeIfIdle(connection);
       }
     } else if (hasPartial || !hasOutput) {
@@ -403,11 +403,13 @@
     }
   }
 
-  private long allowedIdleUs(long nowUs) {
+  private boolean isIdleTooLong(ConnectionActivity activity, long nowUs) {
     if (lifecycle.closesIdleConnections(nowUs)) {
-      return 0;
+      return nowUs > activity.idleSinceUs();
     }
-    return connections.areScarce() ? ClientConnections.SHORT_IDLE_TIMEOUT_US : IDLE_TIMEOUT_US;
+    return connections.areScarce()
+        ? nowUs - activity.idleSinceUs() > ClientConnections.SHORT_IDLE_TIMEOUT_US
+        : nowUs - activity.idleSinceReadUs() > IDLE_TIMEOUT_US;
   }
 
   private void expirePartial(Connection connection, long nowUs, boolean isSilent) {
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionActivity.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionActivity.java
@@ -6,6 +6,12 @@
  * by the caller. Belongs to the selector thread.
  */
 public final class ConnectionActivity {
+  // What a kernel holds for one peer at most, by Linux's defaults.
+  private static final long MAX_KERNEL_BYTES = 4 << 20;
+  // The slowest reading for which a peer's idle time is counted from its last byte.
+  private static final long MIN_READ_BYTES_PER_SECOND = 64_000;
+  private static final long MICROS_PER_SECOND = 1_000_000;
+
   private int requestCount;
   private long idleSinceUs;
   private long partialSinceUs; // 0 while no partial message is timed
@@ -15,6 +21,7 @@
   private long seenOutputBytes; // at the last call of noteProgress
   private long lastInputUs;
   private long lastOutputUs;
+  private long readUntilUs; // when a slow peer will have read all that the kernel may hold
   private long outputWaitsSinceUs; // 0 while no output waits
 
   ConnectionActivity() {}
@@ -83,6 +90,7 @@
     }
     boolean isTaken = outputBytes != seenOutputBytes;
     if (isTaken) {
+      extendReadTime(nowUs, outputBytes - seenOutputBytes);
       seenOutputBytes = outputBytes;
       lastOutputUs = nowUs;
     }
@@ -93,6 +101,23 @@
     }
   }
 
+  private void extendReadTime(long nowUs, long takenBytes) {
+    long untilUs = Math.max(readUntilUs, nowUs) + readTimeUs(takenBytes);
+    readUntilUs = Math.min(untilUs, nowUs + readTimeUs(MAX_KERNEL_BYTES));
+  }
+
+  private static long readTimeUs(long bytes) {
+    return bytes * MICROS_PER_SECOND / MIN_READ_BYTES_PER_SECOND;
+  }
+
+  /**
+   * When the connection last became idle, or, if that is later, when a peer that reads at 64 kB a
+   * second will have read what the kernel may hold for it.
+   */
+  public long idleSinceReadUs() {
+    return Math.max(idleSinceUs, readUntilUs);
+  }
+
   /** When input was last noted; 0 if there was none. */
   public long lastInputUs() {
     return lastInputUs;
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -125,6 +125,22 @@
     assertTrue(exchange.client().isOpen());
   }
 
+  /** Guards against: a connection counts as idle while its client reads what the kernel holds. */
+  @Test
+  void keepsConnectionWhileClientReadsFromKernel() {
+    Exchange exchange = exchangeWithLongAnswer(SEND_BUFFER_BYTES - FIRST_BYTES);
+
+    readSlowly(exchange.client(), 30);
+    assertTrue(exchange.client().isOpen());
+    exchange.client().takeWritten();
+    exchange.client().receive(sidecar.get());
+    answer(sidecar.connectToEndpoint());
+    assertAnswered("200", exchange.client());
+
+    sidecar.advance(secondsToRead(SEND_BUFFER_BYTES) * 1000 + UNREAD_TIMEOUT_MS);
+    assertFalse(exchange.client().isOpen(), "it is idle when the client can have read all");
+  }
+
   private void answer(FakeNetwork.FakeChannel endpoint) {
     endpoint.receive(OK);
     sidecar.advance(PIECE_INTERVAL_MS);
