Admin endpoint: let a caller finish reading its answer

Seen by operators: a caller that reads slowly, which the members of a large fleet over a slow line make likely, was cut off 5 s after its connect.

Cause: the time of a call ended whatever the caller did.

Change: past 5 s a caller keeps its connection while its kernel takes bytes of the answer.

Test: SlowPeersTest#servesAdminCallerThatReadsSlowly failed before; #cutsAdminCallerThatReadsNothing holds the other side.

--- a/sidecar/src/main/java/dillcross/net/admin/AdminEndpoint.java
+++ b/sidecar/src/main/java/dillcross/net/admin/AdminEndpoint.java
@@ -2,6 +2,7 @@
 
 import dillcross.net.buffer.MemoryBudget;
 import dillcross.net.connection.Connection;
+import dillcross.net.connection.ConnectionActivity;
 import dillcross.net.connection.MessageHandler;
 import dillcross.net.http.HeaderNames;
 import dillcross.net.http.HttpMessage;
@@ -14,6 +15,7 @@
 import dillcross.net.transport.TransportChannel;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -28,7 +30,8 @@
  */
 public final class AdminEndpoint implements MessageHandler, Network.ConnectionAcceptor {
   private static final int MAX_CONNECTIONS = 8; // SidecarServer reserves descriptors for these
-  private static final long CALL_TIMEOUT_US = 5_000_000; // from the connect to the close
+  // From the connect to the close, and longer while the caller goes on reading its answer.
+  private static final long CALL_TIMEOUT_US = 5_000_000;
   private static final Logger LOG = Logger.getLogger(AdminEndpoint.class.getName());
 
   private final Lifecycle lifecycle;
@@ -141,15 +144,17 @@
     return HttpResponse.text(HttpStatus.OK, "resumed");
   }
 
-  /** Closes connections that have been open for too long. */
+  /** Closes connections that have been open for too long, unless the caller reads its answer. */
   public void expire(long nowUs) {
-    while (!connections.isEmpty()) {
-      Connection oldest = connections.iterator().next();
-      if (nowUs - oldest.activity().idleSinceUs() <= CALL_TIMEOUT_US) {
-        return;
+    for (Connection connection : List.copyOf(connections)) {
+      connection.noteProgress(nowUs);
+      ConnectionActivity activity = connection.activity();
+      boolean isLate = nowUs - activity.idleSinceUs() > CALL_TIMEOUT_US;
+      boolean hasOutput = connection.out().size() > 0;
+      if (isLate && (!hasOutput || activity.outputStalledUs(nowUs) > CALL_TIMEOUT_US)) {
+        connections.remove(connection);
+        connection.close();
       }
-      connections.remove(oldest);
-      oldest.close();
     }
   }
 }
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -141,6 +141,34 @@
     assertFalse(exchange.client().isOpen(), "it is idle when the client can have read all");
   }
 
+  /** Guards against: an answer of the admin endpoint is cut off while its caller reads it. */
+  @Test
+  void servesAdminCallerThatReadsSlowly() {
+    FakeNetwork.FakeChannel caller = sidecar.connectToAdmin();
+    caller.limitSendBuffer(10);
+    caller.receive("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+
+    for (int i = 0; i < 30; i++) {
+      caller.readByPeer(10);
+      sidecar.advance(1000);
+    }
+
+    String answer = caller.takeWritten();
+    assertTrue(answer.endsWith("ready\n"), answer);
+  }
+
+  /** Guards against: a caller of the admin endpoint that reads nothing keeps its place. */
+  @Test
+  void cutsAdminCallerThatReadsNothing() {
+    FakeNetwork.FakeChannel caller = sidecar.connectToAdmin();
+    caller.limitSendBuffer(10);
+    caller.receive("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+
+    sidecar.advance(6000);
+
+    assertFalse(caller.isOpen());
+  }
+
   private void answer(FakeNetwork.FakeChannel endpoint) {
     endpoint.receive(OK);
     sidecar.advance(PIECE_INTERVAL_MS);
