Discovery: do not give up a list that is arriving

Seen by operators: a list that takes longer than some 5 s to arrive was never taken, in any number of calls.

Cause: when a call timed out the call before it was closed, although its response was arriving; the next response met the same end.

Change: while bytes of the overdue response have arrived since the last timeout, that call stays open, and the newer one gives way. There are still two calls at most.

Test: SlowPeersTest#takesEndpointListThatArrivesSlowly failed before; #givesUpEndpointListThatStopsHalfWay holds the other side.

--- a/sidecar/src/main/java/dillcross/net/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/dillcross/net/discovery/DiscoveryClient.java
@@ -299,14 +299,21 @@
 
   /**
    * Reports the newest call as failed once it has timed out. It stays open, and its response still
-   * counts.
+   * counts, unless the response to the overdue call before it is arriving: that one stays open
+   * then, because a long list may take longer than several calls.
    */
   public void expire(long nowUs) {
     if (newest != null && nowUs >= newest.nextCallUs()) {
-      Connection oldest = overdue == null ? null : overdue.connection();
-      overdue = newest;
+      WatchCall timedOut = newest;
       newest = null;
-      close(oldest);
+      timedOut.noteInput(nowUs);
+      if (overdue != null && overdue.noteInput(nowUs)) {
+        close(timedOut.connection());
+      } else {
+        Connection oldest = overdue == null ? null : overdue.connection();
+        overdue = timedOut;
+        close(oldest);
+      }
       reportFailure(WatchFailure.TIMED_OUT);
     }
   }
--- a/sidecar/src/main/java/dillcross/net/discovery/WatchCall.java
+++ b/sidecar/src/main/java/dillcross/net/discovery/WatchCall.java
@@ -44,6 +44,15 @@
     return connection;
   }
 
+  /** Whether bytes of the response have arrived since the last call of this method. */
+  boolean noteInput(long nowUs) {
+    if (!isConnected()) {
+      return false;
+    }
+    connection.noteProgress(nowUs);
+    return connection.hasPartialMessage() && connection.activity().lastInputUs() == nowUs;
+  }
+
   boolean isConnected() {
     return connection != null && connection.isConnected();
   }
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -141,6 +141,41 @@
     assertFalse(exchange.client().isOpen(), "it is idle when the client can have read all");
   }
 
+  /** Guards against: a long endpoint list is never taken, as each call gives up its beginning. */
+  @Test
+  void takesEndpointListThatArrivesSlowly() {
+    String newAddress = "127.0.0.1:9";
+    String list =
+        ("{\"version\":2,\"full\":true,\"servers\":[{\"id\":\"b\",\"addr\":\"%s\",\"zone\":\"east\","
+                + "\"kind\":\"std\",\"cell\":0,\"state\":\"in_service\",\"weight\":1.0,\"started_ms\":0}]}")
+            .formatted(newAddress);
+    int listBytes = 100 * PIECE_BYTES;
+    FakeNetwork.FakeChannel discovery = sidecar.connectToDiscovery();
+    discovery.receive("HTTP/1.1 200 x\r\nContent-Length: " + listBytes + "\r\n\r\n");
+
+    String padded = " ".repeat(listBytes - list.length()) + list;
+    for (int sent = 0; sent < listBytes; sent += PIECE_BYTES) {
+      discovery.receive(padded.substring(sent, sent + PIECE_BYTES));
+      sidecar.advance(PIECE_INTERVAL_MS);
+    }
+
+    FakeNetwork.FakeChannel client = sidecar.connect();
+    client.receive(sidecar.get());
+    answer(sidecar.connectTo(newAddress));
+    assertAnswered("200", client);
+  }
+
+  /** Guards against: a call whose list stops half way keeps later calls from being answered. */
+  @Test
+  void givesUpEndpointListThatStopsHalfWay() {
+    FakeNetwork.FakeChannel discovery = sidecar.connectToDiscovery();
+    discovery.receive("HTTP/1.1 200 x\r\nContent-Length: 100\r\n\r\n{");
+
+    sidecar.advance(10_000);
+
+    assertFalse(discovery.isOpen());
+  }
+
   /** Guards against: an answer of the admin endpoint is cut off while its caller reads it. */
   @Test
   void servesAdminCallerThatReadsSlowly() {
