Note the progress of two connections that relay to each other only once

Seen by nobody yet: an endpoint that answers with over 64 KiB while the end of a request body still waits for it ended the event loop with a StackOverflowError.

A connection notes the progress of the one that its input is relayed to, which notes that of the first, and so on.

Change: the other connection notes its own progress only.

Test: SlowPeersTest#forwardsEndOfBodyWhileAnswerArrives failed before (StackOverflowError).

--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -250,9 +250,14 @@
    * timeout that depends on {@link #activity}.
    */
   public void noteProgress(long nowUs) {
+    noteOwnProgress(nowUs);
+    relays.noteInboundProgress(nowUs);
+  }
+
+  /** As {@link #noteProgress}, for this connection only: two may relay to each other. */
+  void noteOwnProgress(long nowUs) {
     activity.countOutput(output.countProgress());
     activity.noteProgress(nowUs, !output.isIdle());
-    relays.noteInboundProgress(nowUs);
     try {
       output.retryWrite(nowUs);
     } catch (IOException gone) {
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionRelays.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionRelays.java
@@ -66,7 +66,7 @@
   /** Notes the progress of the connection that the input is relayed to, if there is one. */
   void noteInboundProgress(long nowUs) {
     if (inbound != null) {
-      inbound.target().noteProgress(nowUs);
+      inbound.target().noteOwnProgress(nowUs);
     }
   }
 
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -82,6 +82,31 @@
     assertTrue(exchange.endpoint().takeWritten().length() > LONG_BODY_BYTES);
   }
 
+  /** Guards against: two connections that relay to each other look at each other without end. */
+  @Test
+  void forwardsEndOfBodyWhileAnswerArrives() {
+    int bodyBytes = SEND_BUFFER_BYTES + 10_000;
+    Exchange exchange = exchangeWithLongRequest(bodyBytes);
+    exchange.client().receive("x".repeat(bodyBytes - FIRST_BYTES));
+    sidecar.advance(PIECE_INTERVAL_MS);
+    exchange
+        .endpoint()
+        .receive(
+            "HTTP/1.1 200 x\r\nContent-Length: "
+                + 2 * FIRST_BYTES
+                + "\r\n\r\n"
+                + "a".repeat(FIRST_BYTES));
+
+    sidecar.advance(1000);
+    exchange.endpoint().readByPeer(bodyBytes);
+    exchange.endpoint().receive("z".repeat(FIRST_BYTES));
+    sidecar.advance(1000);
+
+    assertEquals(0, sidecar.failedIterations());
+    assertAnswered("200", exchange.client());
+    assertTrue(exchange.endpoint().takeWritten().length() > bodyBytes);
+  }
+
   /** Guards against: a body that its endpoint does not read at all holds a client for good. */
   @Test
   void givesUpBodyThatEndpointDoesNotRead() {
--- a/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
+++ b/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
@@ -91,6 +91,11 @@
     }
   }
 
+  /** The number of iterations of the event loop that have failed. */
+  int failedIterations() {
+    return server.usage().failedIterations();
+  }
+
   /** Opens a client's connection. */
   FakeNetwork.FakeChannel connect() {
     return network.accept(CLIENT_ADDRESS);
