--- a/sidecar/src/main/java/dillcross/net/buffer/MemoryUse.java
+++ b/sidecar/src/main/java/dillcross/net/buffer/MemoryUse.java
@@ -9,23 +9,27 @@
   /**
    * Requests that arrive or wait for their answer; a small one may be taken where a large is not.
    */
-  REQUEST_INPUT(0, 5 / 8.0, 4 / 8.0),
+  REQUEST_INPUT(0, MemoryUse.SMALL_REQUEST_SHARE, MemoryUse.LARGE_REQUEST_SHARE),
 
   /** Parsed heads of requests. That of a usual request always fits. */
-  REQUEST_HEAD(4 << 10, 5 / 8.0, 4 / 8.0),
+  REQUEST_HEAD(4 << 10, MemoryUse.SMALL_REQUEST_SHARE, MemoryUse.LARGE_REQUEST_SHARE),
 
   /** Requests on their way to an endpoint. A head always fits. */
-  REQUEST_OUTPUT(16 << 10, 6 / 8.0, 6 / 8.0),
+  REQUEST_OUTPUT(16 << 10, MemoryUse.FORWARDED_SHARE, MemoryUse.FORWARDED_SHARE),
 
   /** Responses of endpoints. A head always fits. */
   RESPONSE_INPUT(32 << 10, MemoryUse.SCARCE_SHARE, MemoryUse.SCARCE_SHARE),
 
   /** Responses on their way to a client: a request that was forwarded is never left unanswered. */
-  RESPONSE_OUTPUT(Integer.MAX_VALUE, 1, 1);
+  RESPONSE_OUTPUT(Integer.MAX_VALUE, MemoryUse.WHOLE, MemoryUse.WHOLE);
 
   /** The share of the budget from which on it is scarce: bodies are streamed in small steps. */
   static final double SCARCE_SHARE = 7 / 8.0;
 
+  private static final double LARGE_REQUEST_SHARE = 4 / 8.0;
+  private static final double SMALL_REQUEST_SHARE = 5 / 8.0;
+  private static final double FORWARDED_SHARE = 6 / 8.0;
+  private static final double WHOLE = 1;
   private static final int SMALL_BYTES = 8 << 10;
 
   private final int guaranteedBytes;
