Test: what the kernel holds of an answer arrives after a planned stop

The planned stop is one of the paths where an empty buffer stands for a client that has read all. Nothing is wrong there: the kernel goes on after the exit. The test holds that.

--- a/sidecar/src/test/java/dillcross/cli/SlowPeersIT.java
+++ b/sidecar/src/test/java/dillcross/cli/SlowPeersIT.java
@@ -33,6 +33,7 @@
   private static final int SLOW_READ_MS = 24_000;
   private static final int UNREAD_MS = 25_000; // the sidecar cuts after 20 s
   private static final int START_INTERVAL_MS = 150; // a new endpoint gets no crowd at once
+  private static final int SLOW_READ_AFTER_STOP_MS = 5_000; // longer than the stop takes
   private static final int UPLOADS = 5;
   private static final int SLOW_UPLOAD_MS = 7_000; // more than the sidecar waits without progress
 
@@ -82,6 +83,23 @@
     }
   }
 
+  /** Guards against: a planned stop cuts an answer of which the kernel has all. */
+  @Test
+  void deliversWhatTheKernelHoldsAfterPlannedStop() throws Exception {
+    LargeBodyEndpoint endpoint = open(new LargeBodyEndpoint(0));
+    startAndAwaitReady(new TestConfig(inService("large", endpoint.address())));
+    int bodyBytes = largestSendBuffer() / 4;
+    Socket client = connect();
+    send(client, request("/read/" + bodyBytes));
+    assertEquals("200", statusOf(readHead(client.getInputStream())));
+
+    sidecar.signal("TERM");
+    int taken = SlowReading.read(client.getInputStream(), bodyBytes, SLOW_READ_AFTER_STOP_MS);
+
+    assertEquals(bodyBytes, taken);
+    assertTrue(sidecar.exitsInTime());
+  }
+
   /** Guards against: a body is given up as stalled while its endpoint reads it all the time. */
   @Test
   void forwardsBodiesToEndpointThatReadsSlowly() throws Exception {
