Tests: one piece of code reads a head's Content-Length

LargeBodyEndpoint had a copy of the pattern that HttpMessages has twice in use. HttpMessages.contentLength serves all three. No assertion is changed.

--- a/sidecar/src/test/java/dillcross/cli/HttpMessages.java
+++ b/sidecar/src/test/java/dillcross/cli/HttpMessages.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalInt;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -50,14 +51,20 @@
   /** Reads a head, and a body by its Content-Length; "" if the connection was closed before it. */
   static String readMessage(InputStream in) throws IOException {
     String head = readHead(in);
-    Matcher length = CONTENT_LENGTH.matcher(head);
-    if (!head.endsWith(END_OF_HEAD) || !length.find()) {
+    OptionalInt length = contentLength(head);
+    if (!head.endsWith(END_OF_HEAD) || length.isEmpty()) {
       return head;
     }
-    byte[] body = in.readNBytes(Integer.parseInt(length.group(1)));
+    byte[] body = in.readNBytes(length.getAsInt());
     return head + new String(body, StandardCharsets.ISO_8859_1);
   }
 
+  /** The Content-Length that a head states; empty if it states none. */
+  static OptionalInt contentLength(String head) {
+    Matcher length = CONTENT_LENGTH.matcher(head);
+    return length.find() ? OptionalInt.of(Integer.parseInt(length.group(1))) : OptionalInt.empty();
+  }
+
   /** Reads a head with the empty line after it; incomplete if the connection was closed early. */
   static String readHead(InputStream in) throws IOException {
     StringBuilder head = new StringBuilder();
@@ -73,9 +80,9 @@
 
   /** Reads the body that follows a head, by its Content-Length or else in chunks. */
   static byte[] readBody(InputStream in, String head) throws IOException {
-    Matcher length = CONTENT_LENGTH.matcher(head);
-    if (length.find()) {
-      return in.readNBytes(Integer.parseInt(length.group(1)));
+    OptionalInt length = contentLength(head);
+    if (length.isPresent()) {
+      return in.readNBytes(length.getAsInt());
     }
     ByteArrayOutputStream body = new ByteArrayOutputStream();
     int chunkLength;
--- a/sidecar/src/test/java/dillcross/cli/LargeBodyEndpoint.java
+++ b/sidecar/src/test/java/dillcross/cli/LargeBodyEndpoint.java
@@ -1,5 +1,6 @@
 package dillcross.cli;
 
+import static dillcross.cli.HttpMessages.contentLength;
 import static dillcross.cli.HttpMessages.pathOf;
 import static dillcross.cli.HttpMessages.readHead;
 import static dillcross.cli.HttpMessages.response;
@@ -9,15 +10,13 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import java.util.OptionalInt;
 
 /**
  * An endpoint that answers {@code /read/N} with N bytes, as fast as they are taken, and reads
  * request bodies slowly.
  */
 final class LargeBodyEndpoint extends LoopbackServer {
-  private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)");
   private static final int BLOCK_BYTES = 64_000;
 
   private final long slowMs;
@@ -36,9 +35,9 @@
     InputStream in = socket.getInputStream();
     for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
       requests.add(head);
-      Matcher length = LENGTH.matcher(head);
-      if (length.find()) {
-        SlowReading.read(in, Integer.parseInt(length.group(1)), slowMs);
+      OptionalInt length = contentLength(head);
+      if (length.isPresent()) {
+        SlowReading.read(in, length.getAsInt(), slowMs);
         send(socket, response(200, "", ""));
       } else {
         String path = pathOf(head);
