Log and count why requests, attempts and client connections end

RequestEvents counts each kind of event (GET /-/events on the admin address) and logs it with id, target, age, attempt, endpoint, how far the request was written and whether an answer had begun. A token bucket (50 lines, then 5 a second) bounds the log, since a client could fill it; details are built only for lines that are written.

SidecarServer.Usage is ResourceUsage.

Tests: RequestEventsTest, AdminEndpointIT#showsWhyRequestFailed. SidecarProcess of the tests reads the program's log all the time, as a full pipe would block the program.

--- a/emulator/src/main/java/dillcross/emulator/simulation/SidecarProcess.java
+++ b/emulator/src/main/java/dillcross/emulator/simulation/SidecarProcess.java
@@ -8,6 +8,7 @@
 import dillcross.emulator.scenario.Scenario;
 import dillcross.emulator.time.TimeUnits;
 import dillcross.endpointlist.EndpointListParser;
+import dillcross.net.ResourceUsage;
 import dillcross.net.SidecarServer;
 import dillcross.sidecar.EndpointListUpdate;
 import dillcross.sidecar.RequestCoordinator;
@@ -106,7 +107,7 @@
   }
 
   /** Resources in use by the process; null while none runs. */
-  SidecarServer.Usage usage() {
+  ResourceUsage usage() {
     return server == null ? null : server.usage();
   }
 
--- a/emulator/src/main/java/dillcross/emulator/simulation/Simulation.java
+++ b/emulator/src/main/java/dillcross/emulator/simulation/Simulation.java
@@ -10,7 +10,7 @@
 import dillcross.emulator.time.TimeUnits;
 import dillcross.emulator.time.VirtualClock;
 import dillcross.emulator.trace.Trace;
-import dillcross.net.SidecarServer;
+import dillcross.net.ResourceUsage;
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
@@ -233,7 +233,7 @@
    * and buffer memory than an idle sidecar may. True while its process does not run.
    */
   private static boolean isIdle(SidecarProcess sidecar) {
-    SidecarServer.Usage usage = sidecar.usage();
+    ResourceUsage usage = sidecar.usage();
     return usage == null
         || (endpointConnections(sidecar) <= 0
             && usage.trackedRequests() + usage.attempts() + usage.openRequests() == 0
--- a/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
+++ b/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
@@ -1,6 +1,7 @@
 package dillcross.net;
 
-import dillcross.net.client.ClientListener;
+import dillcross.net.client.Caller;
+import dillcross.net.client.ClientResponder;
 import dillcross.net.connection.InboundResponse;
 import dillcross.net.discovery.DiscoveryClient;
 import dillcross.net.endpoint.AttemptExecutor;
@@ -15,12 +16,13 @@
   private static final String FAILED_BODY = "failed";
   private static final String CLIENT_ERROR_BODY = "turned down"; // with the endpoint's 4xx status
 
-  private final ClientListener listener;
+  private final ClientResponder responder;
   private final AttemptExecutor attempts;
   private final DiscoveryClient discovery;
 
-  CommandDispatcher(ClientListener listener, AttemptExecutor attempts, DiscoveryClient discovery) {
-    this.listener = listener;
+  CommandDispatcher(
+      ClientResponder responder, AttemptExecutor attempts, DiscoveryClient discovery) {
+    this.responder = responder;
     this.attempts = attempts;
     this.discovery = discovery;
   }
@@ -35,14 +37,14 @@
     } else if (command instanceof NetworkCommand.StartStreaming start) {
       startStreaming(start);
     } else if (command instanceof NetworkCommand.FinishStreaming finish) {
-      listener.finishStreaming(caller(finish.client()), finish.complete());
+      responder.finishStreaming(caller(finish.client()), finish.complete());
     } else if (command instanceof NetworkCommand.ForwardClientError error) {
       int status = ((HttpResponse) error.content()).status();
-      listener.respond(caller(error.client()), HttpResponse.text(status, CLIENT_ERROR_BODY));
+      responder.respond(caller(error.client()), HttpResponse.text(status, CLIENT_ERROR_BODY));
     } else if (command instanceof NetworkCommand.RejectRequest reject) {
       reject(reject);
     } else if (command instanceof NetworkCommand.FailRequest fail) {
-      listener.respond(
+      responder.respond(
           caller(fail.client()), HttpResponse.text(HttpStatus.BAD_GATEWAY, FAILED_BODY));
     } else if (command instanceof NetworkCommand.CloseConnections close) {
       attempts.closeConnections(close.endpoint());
@@ -51,26 +53,26 @@
     }
   }
 
-  private static ClientListener.Caller caller(Object client) {
-    return (ClientListener.Caller) client;
+  private static Caller caller(Object client) {
+    return (Caller) client;
   }
 
   private void forward(NetworkCommand.ForwardResponse command) {
-    ClientListener.Caller caller = caller(command.client());
+    Caller caller = caller(command.client());
     HttpResponse response = (HttpResponse) command.content();
-    listener.respond(caller, response.forwarded(caller.isHttp10()));
+    responder.respond(caller, response.forwarded(caller.isHttp10()));
   }
 
   private void startStreaming(NetworkCommand.StartStreaming command) {
-    ClientListener.Caller caller = caller(command.client());
+    Caller caller = caller(command.client());
     InboundResponse inbound = (InboundResponse) command.content();
-    boolean chunked = listener.startStreaming(caller, inbound.response());
+    boolean chunked = responder.startStreaming(caller, inbound.response());
     inbound.dropFirstBytes();
     attempts.relayResponse(inbound, caller.connection(), chunked);
   }
 
   private void reject(NetworkCommand.RejectRequest command) {
     HttpResponse response = HttpResponse.rejection(REJECTED_BODY, command.retryAfterUs());
-    listener.respond(caller(command.client()), response);
+    responder.respond(caller(command.client()), response);
   }
 }
--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -4,11 +4,13 @@
 import dillcross.net.admin.AdminPaths;
 import dillcross.net.admin.Lifecycle;
 import dillcross.net.buffer.MemoryBudget;
+import dillcross.net.client.Caller;
 import dillcross.net.client.ClientConnections;
 import dillcross.net.client.ClientListener;
 import dillcross.net.discovery.DiscoveryClient;
 import dillcross.net.endpoint.AttemptExecutor;
 import dillcross.net.endpoint.EndpointConnectionPool;
+import dillcross.net.events.RequestEvents;
 import dillcross.net.membership.MembershipService;
 import dillcross.net.transport.Network;
 import dillcross.sidecar.NetworkCommand;
@@ -97,9 +99,10 @@
     // be idle, whereas those to endpoints are reused for one request after another.
     int share = (limits.maxDescriptors() - RESERVED_DESCRIPTORS) / DESCRIPTOR_SHARES;
     clients = new ClientConnections(this::now, CLIENT_SHARES * share);
+    RequestEvents events = new RequestEvents(this::now);
     listener =
         new ClientListener(
-            coordinator, lifecycle, this::now, clients, limits.maxBodyBytes(), budget);
+            coordinator, lifecycle, this::now, clients, limits.maxBodyBytes(), budget, events);
     discovery = new DiscoveryClient(network, coordinator, this::now, discoveryAddress);
     attempts =
         new AttemptExecutor(
@@ -109,9 +112,10 @@
             new EndpointConnectionPool(this::now, share),
             limits.maxBodyBytes(),
             budget,
-            this::readPending);
-    admin = new AdminEndpoint(lifecycle, this::now);
-    dispatcher = new CommandDispatcher(listener, attempts, discovery);
+            this::readPending,
+            events);
+    admin = new AdminEndpoint(lifecycle, this::now, events);
+    dispatcher = new CommandDispatcher(listener.responder(), attempts, discovery);
     warmUp = new WarmUpProbe(attempts, warmUpRequests);
     shutdown = new ShutdownSequence(lifecycle, coordinator, clients);
     changes = new ChangeQueue(network::wakeUp);
@@ -128,7 +132,7 @@
    */
   private void readPending(Object client) {
     discovery.readPending();
-    if (client instanceof ClientListener.Caller caller) {
+    if (client instanceof Caller caller) {
       listener.readPending(caller);
     }
   }
@@ -344,8 +348,8 @@
    * idle connections, the timers of the endpoint list and of the load balancer, and the failed
    * iterations.
    */
-  public Usage usage() {
-    return new Usage(
+  public ResourceUsage usage() {
+    return new ResourceUsage(
         coordinator.trackedRequests(),
         coordinator.pendingTimers(),
         attempts.inFlight(),
@@ -354,24 +358,6 @@
         failedIterations);
   }
 
-  /**
-   * The resources that a server has in use.
-   *
-   * @param trackedRequests requests that the coordinator keeps
-   * @param timers timers of the coordinator that are set
-   * @param attempts attempts in flight
-   * @param openRequests requests that wait for their response
-   * @param bufferBytes bytes that are taken from the memory budget
-   * @param failedIterations iterations of the event loop that have failed since the start
-   */
-  public record Usage(
-      int trackedRequests,
-      int timers,
-      int attempts,
-      int openRequests,
-      long bufferBytes,
-      int failedIterations) {}
-
   // Event loop
 
   @Override
--- a/sidecar/src/main/java/dillcross/net/admin/AdminEndpoint.java
+++ b/sidecar/src/main/java/dillcross/net/admin/AdminEndpoint.java
@@ -4,6 +4,7 @@
 import dillcross.net.connection.Connection;
 import dillcross.net.connection.ConnectionActivity;
 import dillcross.net.connection.MessageHandler;
+import dillcross.net.events.RequestEvents;
 import dillcross.net.http.HeaderNames;
 import dillcross.net.http.HttpMessage;
 import dillcross.net.http.HttpMessageParser;
@@ -13,6 +14,7 @@
 import dillcross.net.membership.MembershipService;
 import dillcross.net.transport.Network;
 import dillcross.net.transport.TransportChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,18 +38,20 @@
 
   private final Lifecycle lifecycle;
   private final LongSupplier clock;
+  private final RequestEvents events;
   private final MemoryBudget budget =
       new MemoryBudget((long) MAX_CONNECTIONS * HttpMessageParser.MAX_BUFFERED_BODY_BYTES);
   private final Set<Connection> connections = new LinkedHashSet<>(); // the oldest first
   private Optional<MembershipService> membership = Optional.empty();
 
   /**
-   * Creates an admin endpoint that reports and controls {@code lifecycle}; {@code clock} gives
-   * microseconds.
+   * Creates an admin endpoint that reports and controls {@code lifecycle}, and shows the counters
+   * of {@code events}; {@code clock} gives microseconds.
    */
-  public AdminEndpoint(Lifecycle lifecycle, LongSupplier clock) {
+  public AdminEndpoint(Lifecycle lifecycle, LongSupplier clock, RequestEvents events) {
     this.lifecycle = lifecycle;
     this.clock = clock;
+    this.events = events;
   }
 
   /** Serves the membership's view of the fleet too; without a membership its path is not found. */
@@ -105,7 +109,8 @@
     }
     return switch (path) {
       case AdminPaths.READY -> readiness();
-      case AdminPaths.MEMBERS -> members();
+      case AdminPaths.MEMBERS -> json(membership.orElseThrow().view());
+      case AdminPaths.EVENTS -> json(events.toJson().getBytes(StandardCharsets.US_ASCII));
       case AdminPaths.DRAIN -> drain();
       default -> resume();
     };
@@ -113,7 +118,7 @@
 
   private Optional<String> methodOf(String path) {
     return switch (path) {
-      case AdminPaths.READY -> Optional.of(HttpRequest.GET);
+      case AdminPaths.READY, AdminPaths.EVENTS -> Optional.of(HttpRequest.GET);
       case AdminPaths.MEMBERS -> membership.map(service -> HttpRequest.GET);
       case AdminPaths.DRAIN, AdminPaths.RESUME -> Optional.of(HttpRequest.POST);
       default -> Optional.empty();
@@ -126,10 +131,10 @@
         : HttpResponse.text(HttpStatus.SERVICE_UNAVAILABLE, "not ready");
   }
 
-  private HttpResponse members() {
+  private static HttpResponse json(byte[] body) {
     Map<String, String> fields =
         new LinkedHashMap<>(Map.of(HeaderNames.CONTENT_TYPE, "application/json"));
-    return HttpResponse.of(HttpStatus.OK, fields, membership.orElseThrow().view());
+    return HttpResponse.of(HttpStatus.OK, fields, body);
   }
 
   private HttpResponse drain() {
--- a/sidecar/src/main/java/dillcross/net/admin/AdminPaths.java
+++ b/sidecar/src/main/java/dillcross/net/admin/AdminPaths.java
@@ -11,6 +11,7 @@
   static final String DRAIN = "/-/drain";
   static final String RESUME = "/-/resume";
   static final String MEMBERS = "/-/members";
+  static final String EVENTS = "/-/events";
 
   private AdminPaths() {}
 }
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -8,6 +8,8 @@
 import dillcross.net.connection.InboundRequest;
 import dillcross.net.connection.InboundResponse;
 import dillcross.net.connection.MessageHandler;
+import dillcross.net.events.RequestEvent;
+import dillcross.net.events.RequestEvents;
 import dillcross.net.http.HeaderNames;
 import dillcross.net.http.HttpMessage;
 import dillcross.net.http.HttpMessageParser;
@@ -39,6 +41,7 @@
   private final Consumer<Object> readPending; // called before an attempt is sent, with its client
   private final ConnectionFactory connectionFactory;
   private final EndpointConnectionPool pool;
+  private final RequestEvents events;
   private final Map<AttemptId, InFlightAttempt> attempts = new HashMap<>();
   private final ArrayDeque<InFlightAttempt> connecting = new ArrayDeque<>(); // the oldest first
   private final ArrayDeque<InFlightAttempt> connected = new ArrayDeque<>(); // not sent yet
@@ -65,11 +68,13 @@
       EndpointConnectionPool pool,
       long maxBody,
       MemoryBudget budget,
-      Consumer<Object> readPending) {
+      Consumer<Object> readPending,
+      RequestEvents events) {
     this.coordinator = coordinator;
     this.clock = clock;
     this.pool = pool;
     this.readPending = readPending;
+    this.events = events;
     connectionFactory =
         new ConnectionFactory(
             network, this, HttpMessageParser.MAX_BUFFERED_BODY_BYTES, maxBody, budget);
@@ -232,6 +237,10 @@
       return;
     }
     AttemptResult result = new AttemptResult(kind, attempt.progress(), response);
+    boolean isWarmUp = attempt.command().client() == null;
+    if (kind != AttemptResult.Kind.SUCCEEDED && !isWarmUp) {
+      events.record(RequestEvent.ATTEMPT_ENDED, () -> describe(attempt, result));
+    }
     attempt.request().release();
     connecting.remove(attempt);
     if (attempt.connection() != null) {
@@ -241,6 +250,25 @@
     coordinator.onAttemptEnded(clock.getAsLong(), command.requestId(), command.attempt(), result);
   }
 
+  private String describe(InFlightAttempt attempt, AttemptResult result) {
+    NetworkCommand.SendAttempt command = attempt.command();
+    return "id="
+        + attempt.request().request().field(HeaderNames.REQUEST_ID)
+        + ", attempt="
+        + command.attempt()
+        + ", endpoint="
+        + command.endpoint()
+        + ", end="
+        + result.kind()
+        + ", request="
+        + result.progress()
+        + ", answer="
+        + (attempt.hasAnswerBegun() ? "begun" : "none")
+        + ", after="
+        + (clock.getAsLong() - attempt.startedUs()) / MICROS_PER_MILLI
+        + "ms";
+  }
+
   private void detach(InFlightAttempt attempt, AttemptResult.Kind kind, HttpResponse response) {
     Connection connection = attempt.connection();
     connection.endExchange();
--- a/sidecar/src/main/java/dillcross/net/endpoint/InFlightAttempt.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/InFlightAttempt.java
@@ -93,6 +93,11 @@
     return streaming == response;
   }
 
+  /** Whether bytes of a response have arrived that are not its whole. */
+  boolean hasAnswerBegun() {
+    return isSent && connection.hasPartialMessage();
+  }
+
   /** How much of the request has been written. */
   WriteProgress progress() {
     if (!isSent) {
--- a/sidecar/src/test/java/dillcross/cli/AdminEndpointIT.java
+++ b/sidecar/src/test/java/dillcross/cli/AdminEndpointIT.java
@@ -135,4 +135,18 @@
     String log = String.join("\n", sidecar.remainingLog());
     assertTrue(log.contains(message), log);
   }
+
+  /** Guards against: a request fails, and neither log nor counters say which one and why. */
+  @Test
+  void showsWhyRequestFailed() throws Exception {
+    startWithAdminEndpoint();
+
+    assertEquals("503", statusOfNewClient(request("/read/plain503")));
+
+    String attempt = sidecar.awaitLogLine("attempt ended: id=r1, attempt=0, endpoint=a, end=ERROR");
+    assertTrue(attempt.contains("request=FULLY_WRITTEN"), attempt);
+    sidecar.awaitLogLine("request rejected: id=r1, target=/read/plain503");
+    String events = callAdmin("GET /-/events");
+    assertTrue(events.contains("\"request_rejected\":1"), events);
+  }
 }
--- a/sidecar/src/test/java/dillcross/cli/SidecarProcess.java
+++ b/sidecar/src/test/java/dillcross/cli/SidecarProcess.java
@@ -7,12 +7,16 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.InterruptedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -35,12 +39,35 @@
   /** The port of the admin endpoint; 0 until it is announced or if none is configured. */
   int adminPort;
 
-  private final BufferedReader log;
+  private final BlockingQueue<Optional<String>> log = new LinkedBlockingQueue<>(); // empty: its end
 
   private SidecarProcess(Process process) {
     this.process = process;
-    log =
-        new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
+    // Read all the time, because the program would block on a full pipe.
+    BackgroundTask.start(this::readLog);
+  }
+
+  private void readLog() throws IOException {
+    try (BufferedReader lines =
+        new BufferedReader(
+            new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8))) {
+      lines.lines().map(Optional::of).forEach(log::add);
+    } finally {
+      log.add(Optional.empty());
+    }
+  }
+
+  /** The next line of the log; empty at its end. */
+  private Optional<String> nextLine() throws IOException {
+    try {
+      Optional<String> line = log.take();
+      if (line.isEmpty()) {
+        log.add(line); // for later calls
+      }
+      return line;
+    } catch (InterruptedException e) {
+      throw new InterruptedIOException("interrupted while waiting for the log");
+    }
   }
 
   /**
@@ -67,34 +94,39 @@
 
   /** Reads the log, and the ports in it, until the sidecar is ready. */
   void awaitReady() throws IOException {
-    String line = log.readLine();
-    while (line != null) {
-      Matcher admin = ADMIN_PORT.matcher(line);
+    Optional<String> line = nextLine();
+    while (line.isPresent()) {
+      Matcher admin = ADMIN_PORT.matcher(line.get());
       if (admin.find()) {
         adminPort = Integer.parseInt(admin.group(1));
       }
-      Matcher client = CLIENT_PORT.matcher(line);
+      Matcher client = CLIENT_PORT.matcher(line.get());
       if (client.find()) {
         port = Integer.parseInt(client.group(1));
         return;
       }
-      line = log.readLine();
+      line = nextLine();
     }
     throw new AssertionError("the sidecar ended before it was ready");
   }
 
   /** Reads the log up to a line that contains this text; fails if there is none. */
-  void awaitLogLine(String text) throws IOException {
-    String line;
+  String awaitLogLine(String text) throws IOException {
+    Optional<String> line;
     do {
-      line = log.readLine();
-      assertTrue(line != null, "no log line with " + text);
-    } while (!line.contains(text));
+      line = nextLine();
+      assertTrue(line.isPresent(), "no log line with " + text);
+    } while (!line.get().contains(text));
+    return line.get();
   }
 
   /** Reads the lines that remain in the log until the program ends. */
-  List<String> remainingLog() {
-    return log.lines().toList();
+  List<String> remainingLog() throws IOException {
+    List<String> lines = new ArrayList<>();
+    for (Optional<String> line = nextLine(); line.isPresent(); line = nextLine()) {
+      lines.add(line.get());
+    }
+    return lines;
   }
 
   /** Sends the process a signal, named without SIG, such as {@code TERM}. */
--- a/sidecar/src/test/java/dillcross/net/endpoint/AttemptExecutorTest.java
+++ b/sidecar/src/test/java/dillcross/net/endpoint/AttemptExecutorTest.java
@@ -17,6 +17,7 @@
 import dillcross.net.buffer.MemoryUse;
 import dillcross.net.buffer.RingBuffer;
 import dillcross.net.connection.InboundRequest;
+import dillcross.net.events.RequestEvents;
 import dillcross.net.http.HttpRequest;
 import dillcross.sidecar.EndpointEntry;
 import dillcross.sidecar.IncomingRequest;
@@ -64,7 +65,8 @@
           new EndpointConnectionPool(() -> now, 100),
           1 << 20,
           budget,
-          this::readPending);
+          this::readPending,
+          new RequestEvents(() -> now));
   // The commands of the coordinator that are not for the executor.
   private final List<NetworkCommand> otherCommands = new ArrayList<>();
   // The clients whose input was read before an attempt was sent, in order.
