--- a/sidecar/src/test/java/dillcross/cli/LoopbackServer.java
+++ b/sidecar/src/test/java/dillcross/cli/LoopbackServer.java
@@ -31,6 +31,15 @@
     }
   }
 
+  /** Bounds what the kernel takes of what peers send and this server has not read yet. */
+  final void limitReceiveBuffer(int bytes) {
+    try {
+      server.setReceiveBufferSize(bytes); // inherited by accepted connections
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Starts to accept connections, on a daemon thread that ends when this server is closed. */
   void start() {
     BackgroundTask.start(
--- a/sidecar/src/test/java/dillcross/cli/SlowPeersIT.java
+++ b/sidecar/src/test/java/dillcross/cli/SlowPeersIT.java
@@ -11,8 +11,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -26,8 +24,6 @@
  * dillcross.net.transport.TransportChannel#retryWrite}.
  */
 class SlowPeersIT extends SidecarFixture {
-  private static final Path SEND_BUFFER_LIMITS = Path.of("/proc/sys/net/ipv4/tcp_wmem");
-  private static final int MAXIMUM_FIELD = 2; // after the minimum and the default
   private static final int READERS = 10;
   private static final int SIZE_STEP_BYTES = 200_000;
   private static final int SLOW_READ_MS = 24_000;
@@ -42,7 +38,7 @@
   void servesClientsThatReadSlowlyAndCutsThatReadsNothing() throws Exception {
     LargeBodyEndpoint endpoint = open(new LargeBodyEndpoint(0));
     startAndAwaitReady(new TestConfig(inService("large", endpoint.address())));
-    int bufferBytes = largestSendBuffer();
+    int bufferBytes = KernelBuffers.largestSendBuffer();
     ExecutorService threads = Executors.newCachedThreadPool();
     List<CompletableFuture<Integer>> missing = new ArrayList<>();
     for (int i = 0; i < READERS; i++) {
@@ -65,11 +61,6 @@
     threads.shutdown();
   }
 
-  private static int largestSendBuffer() throws IOException {
-    String limits = Files.readAllLines(SEND_BUFFER_LIMITS).get(0); // a /proc file: read at once
-    return Integer.parseInt(limits.split("\\s+")[MAXIMUM_FIELD]);
-  }
-
   /** Reads an answer slowly at first; returns how many bytes are missing at its end. */
   private int missingAfterSlowRead(int bodyBytes) {
     try {
@@ -88,7 +79,7 @@
   void deliversWhatTheKernelHoldsAfterPlannedStop() throws Exception {
     LargeBodyEndpoint endpoint = open(new LargeBodyEndpoint(0));
     startAndAwaitReady(new TestConfig(inService("large", endpoint.address())));
-    int bodyBytes = largestSendBuffer() / 4;
+    int bodyBytes = KernelBuffers.largestSendBuffer() / 4;
     Socket client = connect();
     send(client, request("/read/" + bodyBytes));
     assertEquals("200", statusOf(readHead(client.getInputStream())));
@@ -105,7 +96,7 @@
   void forwardsBodiesToEndpointThatReadsSlowly() throws Exception {
     LargeBodyEndpoint endpoint = open(new LargeBodyEndpoint(SLOW_UPLOAD_MS));
     startAndAwaitReady(new TestConfig(inService("large", endpoint.address())));
-    int bodyBytes = 3 * largestSendBuffer();
+    int bodyBytes = 3 * KernelBuffers.largestSendBuffer();
     ExecutorService threads = Executors.newCachedThreadPool();
     List<CompletableFuture<String>> statuses = new ArrayList<>();
     for (int i = 0; i < UPLOADS; i++) {
