--- a/sidecar/src/test/java/dillcross/cli/DisconnectCrossingIT.java
+++ b/sidecar/src/test/java/dillcross/cli/DisconnectCrossingIT.java
@@ -21,6 +21,9 @@
  * after that; see {@link dillcross.sidecar.RequestCoordinator}.
  */
 class DisconnectCrossingIT extends CrossingFixture {
+  private static final int NOTICE_MS =
+      150; // a request may be sent up to 100 ms after its client left
+
   /** The sidecar reads the request and the client's disconnect at the same time. */
   @ParameterizedTest
   @ValueSource(strings = {"closes", "resets", "half-closes"})
@@ -91,6 +94,33 @@
     assertEquals(List.of("/read/after"), endpoint.requestPaths);
   }
 
+  /** Guards against: a request is sent whose client has left, as more followed it than is read. */
+  @ParameterizedTest
+  @CsvSource({
+    "closes,3000000,true",
+    "closes,3000000,false",
+    "half-closes,3000000,true",
+    "closes,-3000000,true",
+    "resets,-3000000,false"
+  })
+  void doesNotSendAfterDisconnectWithMuchUnread(String how, int extraBytes, boolean cancellable)
+      throws Exception {
+    LateEndpoint endpoint = openLateEndpoint();
+    startAndAwaitReady(
+        withLongTimeouts(inService("a", endpoint.address())).cancellable(cancellable));
+    Socket client = connect();
+    send(client, requestWithExtraBytes(extraBytes));
+    awaitConnect(endpoint);
+
+    disconnect(client, how);
+    Thread.sleep(NOTICE_MS);
+    endpoint.drainQueueAndServe();
+    await(() -> countConnectionsTo(endpoint.port(), TcpState.SYN_SENT) == 0);
+
+    assertEquals("200", statusOfNewClient(request("/read/after", REQUEST_TIMEOUT_MS)));
+    assertEquals(List.of("/read/after"), endpoint.requestPaths);
+  }
+
   private String requestWithExtraBytes(int extraBytes) {
     if (extraBytes < 0) {
       int length = -extraBytes;
