Count what a client may have done unseen: time of long requests, clients that left

A connection whose input is left unread, because a buffer is full or an endpoint is behind, says nothing of what its client has done since. The sidecar took that for 'nothing has happened': the time of a request over 64 KiB started when its last byte was read, and a client was taken to be connected until its end was read. The clients' data was in the kernels, whole, from the first milliseconds on.

Change: ConnectionInput knows since when input may be unread (unreadSinceUs; a read says why it ended). From then on - the last byte of a body may have been sent, so the client's time runs; it stops running where the input is read empty again, and while more is missing than the kernels can hold (5 MiB: accepted sockets have a fixed receive buffer now, so this is bounded). At its end the request, which has not run, is rejected at once; - no attempt begins later than 50 ms after: the client may have left. The load balancer is told and rejects the request; what was sent goes on. Input behind an open request that does not fit is left unread, no longer discarded, and the open request is rejected: before, over 512 KiB of pipelined requests were dropped without an answer, those that had been read included. After a long body the input is read again, so that a disconnect is seen.

--- a/sidecar/src/main/java/dillcross/balancer/AttemptPolicy.java
+++ b/sidecar/src/main/java/dillcross/balancer/AttemptPolicy.java
@@ -43,11 +43,12 @@
         && duplicates.isHarmless(request, endpoint, nowUs);
   }
 
-  /** Whether the client has no answer yet and the request's deadline has not passed. */
+  /** Whether the client has no answer yet, may get one, and the deadline has not passed. */
   private static boolean isUnanswered(Request request, long nowUs) {
     return !request.isOver()
         && request.streaming() == null
-        && (request.isBodyIncomplete() || nowUs < request.deadlineUs());
+        && request.mayHaveAttempts()
+        && request.isInTime(nowUs);
   }
 
   /** The most attempts that the request may have; a partly released body can't be sent again. */
@@ -58,7 +59,9 @@
   /** Whether a request with nothing in flight may get its first attempt or a retry. */
   boolean allowsNext(Request request) {
     boolean isFirst = request.attempts().isEmpty();
-    return budget.allows(price(request)) && (isFirst || !request.isBodyReleased());
+    return request.mayHaveAttempts()
+        && budget.allows(price(request))
+        && (isFirst || !request.isBodyReleased());
   }
 
   /**
--- a/sidecar/src/main/java/dillcross/balancer/LoadBalancer.java
+++ b/sidecar/src/main/java/dillcross/balancer/LoadBalancer.java
@@ -229,6 +229,30 @@
     }
   }
 
+  /**
+   * Sets until when a request may be answered whose client may have sent all of its body.
+   *
+   * @param deadlineUs in microseconds; {@code Long.MAX_VALUE} while the client can't have sent all
+   */
+  public void onBodyDeadline(long nowUs, long id, long deadlineUs) {
+    now = nowUs;
+    Request request = requests.find(id);
+    if (request != null) {
+      request.updateBodyDeadline(deadlineUs);
+    }
+  }
+
+  /** Ends a request that waits; one with attempts in flight gets no others. */
+  public void onNoFurtherAttempts(long nowUs, long id) {
+    now = nowUs;
+    Request request = requests.find(id);
+    if (request != null) {
+      request.forbidAttempts();
+      requests.removeWaiting(request);
+      requests.placeAgain(request);
+    }
+  }
+
   /** Records that the response of an attempt has begun to stream to the client. */
   public void onResponseStarted(long nowUs, long id, int attemptNumber) {
     now = nowUs;
--- a/sidecar/src/main/java/dillcross/balancer/Request.java
+++ b/sidecar/src/main/java/dillcross/balancer/Request.java
@@ -39,6 +39,8 @@
 
   private final List<Attempt> attempts = new ArrayList<>(2);
   private long deadlineUs;
+  private long bodyDeadlineUs = Long.MAX_VALUE; // the client's, once it may have sent all
+  private boolean mayHaveAttempts = true;
   private double rank;
   private double relativeValue;
   private DemandCounter tenant;
@@ -76,7 +78,29 @@
 
   /** Until when the request may be answered; the timeout counts from the last byte of the body. */
   long deadlineUs() {
-    return deadlineUs;
+    return Math.min(deadlineUs, bodyDeadlineUs);
+  }
+
+  /** Whether the request may be answered at {@code nowUs}. */
+  boolean isInTime(long nowUs) {
+    return nowUs < (isBodyIncomplete ? bodyDeadlineUs : deadlineUs());
+  }
+
+  /**
+   * Sets the client's deadline; {@code Long.MAX_VALUE} while the client can't have sent the last
+   * byte of the body.
+   */
+  void updateBodyDeadline(long newDeadlineUs) {
+    bodyDeadlineUs = newDeadlineUs;
+  }
+
+  /** Whether the request may get another attempt, as far as its client is concerned. */
+  boolean mayHaveAttempts() {
+    return mayHaveAttempts;
+  }
+
+  void forbidAttempts() {
+    mayHaveAttempts = false;
   }
 
   /** Whether the request needs no answer any more. */
--- a/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
+++ b/sidecar/src/main/java/dillcross/net/CommandDispatcher.java
@@ -32,6 +32,8 @@
       attempts.start(send);
     } else if (command instanceof NetworkCommand.AbandonAttempt abandon) {
       attempts.abandon(abandon);
+    } else if (command instanceof NetworkCommand.WithdrawAttempt withdraw) {
+      attempts.withdraw(withdraw);
     } else if (command instanceof NetworkCommand.ForwardResponse forward) {
       forward(forward);
     } else if (command instanceof NetworkCommand.StartStreaming start) {
--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -112,7 +112,7 @@
             new EndpointConnectionPool(this::now, share),
             limits.maxBodyBytes(),
             budget,
-            this::readPending,
+            this::checkClient,
             events);
     admin = new AdminEndpoint(lifecycle, this::now, events);
     dispatcher = new CommandDispatcher(listener.responder(), attempts, discovery);
@@ -128,13 +128,12 @@
 
   /**
    * Reads input that has arrived from discovery and from a client since this iteration began, so
-   * that the attempt that is sent next takes it into account.
+   * that the attempt that is sent next takes it into account. Returns whether the client was
+   * connected a moment ago.
    */
-  private void readPending(Object client) {
+  private boolean checkClient(Object client) {
     discovery.readPending();
-    if (client instanceof Caller caller) {
-      listener.readPending(caller);
-    }
+    return !(client instanceof Caller caller) || listener.checkConnected(caller);
   }
 
   private void configure(SidecarSettings settings) {
--- a/sidecar/src/main/java/dillcross/net/admin/AdminEndpoint.java
+++ b/sidecar/src/main/java/dillcross/net/admin/AdminEndpoint.java
@@ -62,7 +62,7 @@
   @Override
   public Network.ConnectionHandler onAccepted(TransportChannel channel) {
     int maxBytes = HttpMessageParser.MAX_BUFFERED_BODY_BYTES;
-    Connection connection = new Connection(channel, this, true, maxBytes, maxBytes, budget);
+    Connection connection = new Connection(channel, this, true, maxBytes, maxBytes, budget, clock);
     connection.markConnected();
     connection.activity().markIdle(clock.getAsLong());
     connections.add(connection);
--- a/sidecar/src/main/java/dillcross/net/buffer/RingBuffer.java
+++ b/sidecar/src/main/java/dillcross/net/buffer/RingBuffer.java
@@ -178,10 +178,8 @@
    * Reads until the buffer holds {@code window} bytes or nothing more has arrived. A short read
    * does not end the loop, because the end of the stream may follow it: a client's disconnect has
    * to be seen before its request is sent.
-   *
-   * @return whether the stream has ended
    */
-  public boolean read(TransportChannel from, int window) throws IOException {
+  public ReadEnd read(TransportChannel from, int window) throws IOException {
     int limit = Math.min(window, maxBytes);
     int readCount = 1;
     while (readCount > 0 && size < limit && grow(size + 1)) {
@@ -190,7 +188,10 @@
       readCount = from.read(ByteBuffer.wrap(bytes, end, space));
       size += Math.max(0, readCount);
     }
-    return readCount < 0;
+    if (readCount < 0) {
+      return ReadEnd.END_OF_STREAM;
+    }
+    return readCount == 0 ? ReadEnd.NOTHING_LEFT : ReadEnd.NO_SPACE;
   }
 
   private boolean grow(int needed) {
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -30,6 +30,9 @@
  * thread.
  */
 public final class ClientListener implements MessageHandler, Network.ConnectionAcceptor {
+  // How long after a client was last known to be connected its request may be sent: half of the
+  // time for which an attempt may follow a disconnect.
+  private static final long MAX_UNSEEN_US = 50_000;
   private static final int MICROS_PER_MILLI = 1000;
   private static final String UNREADABLE_BODY = "malformed request, or no room for it";
   private static final String UNKNOWN_CLASS_BODY = "unknown category"; // the protocol's term
@@ -94,13 +97,17 @@
 
   /**
    * Reads the input of a client that waits for its response, to see whether it has disconnected.
+   * Returns whether it was connected a moment ago: while input is left unread, that is not known.
    */
-  public void readPending(Caller caller) {
+  public boolean checkConnected(Caller caller) {
     Connection connection = caller.connection();
     // While a request body is relayed, the relay's reads show a disconnect.
     if (connection.isOpen() && !connection.relays().hasInbound()) {
       connection.onReadable();
     }
+    long unreadSinceUs = connection.input().unreadSinceUs();
+    return connection.isOpen()
+        && (unreadSinceUs == 0 || clock.getAsLong() - unreadSinceUs <= MAX_UNSEEN_US);
   }
 
   // Connections
@@ -109,7 +116,7 @@
   public Network.ConnectionHandler onAccepted(TransportChannel channel) {
     Connection connection =
         new Connection(
-            channel, this, true, HttpMessageParser.MAX_BUFFERED_BODY_BYTES, maxBody, budget);
+            channel, this, true, HttpMessageParser.MAX_BUFFERED_BODY_BYTES, maxBody, budget, clock);
     connection.markConnected();
     connections.add(connection);
     return connection;
@@ -170,6 +177,20 @@
         .ifPresent(pending -> coordinator.onBodyComplete(clock.getAsLong(), pending.requestId()));
   }
 
+  @Override
+  public void onBodyProgress(Connection connection, boolean mayHaveEnded) {
+    ClientExchanges.find(connection)
+        .ifPresent(
+            pending ->
+                coordinator.onBodyProgress(clock.getAsLong(), pending.requestId(), mayHaveEnded));
+  }
+
+  @Override
+  public void onInputFull(Connection connection) {
+    ClientExchanges.find(connection)
+        .ifPresent(pending -> coordinator.onClientUnseen(clock.getAsLong(), pending.requestId()));
+  }
+
   private void serve(Connection connection, HttpRequest request) {
     RequestClass requestClass = requestClasses.get(firstSegment(request.path()));
     if (requestClass == null) {
--- a/sidecar/src/main/java/dillcross/net/client/ClientResponder.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientResponder.java
@@ -68,10 +68,7 @@
   private boolean closesAfter(Caller caller) {
     Connection connection = caller.connection();
     boolean isLeastUsed = connections.areScarce() && connection.activity().requestCount() <= 1;
-    return lifecycle.closesConnections()
-        || !caller.keepsAlive()
-        || isLeastUsed
-        || connection.input().hasOverrun();
+    return lifecycle.closesConnections() || !caller.keepsAlive() || isLeastUsed;
   }
 
   private void continueReading(Connection connection) {
--- a/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
+++ b/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
@@ -115,6 +115,7 @@
     } else {
       target.flush();
       source.input().resume();
+      HttpConnectionCodec.reportBodyProgress(source);
     }
   }
 
@@ -147,6 +148,7 @@
     detach();
     target.flush();
     source.parser().finish();
+    source.input().resume();
     listener.onFinished(complete);
   }
 }
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -8,6 +8,7 @@
 import dillcross.net.transport.Network;
 import dillcross.net.transport.TransportChannel;
 import java.io.IOException;
+import java.util.function.LongSupplier;
 
 /**
  * One HTTP connection: its input and output buffers, the parser of its input, and the exchange that
@@ -37,6 +38,7 @@
    * @param maxBufferedBody the size of the largest body that is passed to the handler completely,
    *     in bytes; a larger one is streamed
    * @param maxBody the size of the largest body that is allowed, in bytes
+   * @param clock gives microseconds
    */
   public Connection(
       TransportChannel channel,
@@ -44,12 +46,13 @@
       boolean isServerSide,
       int maxBufferedBody,
       long maxBody,
-      MemoryBudget budget) {
+      MemoryBudget budget,
+      LongSupplier clock) {
     this.channel = channel;
     this.handler = handler;
     this.isServerSide = isServerSide;
     this.budget = budget;
-    input = new ConnectionInput(this, channel, budget, maxBufferedBody);
+    input = new ConnectionInput(this, channel, clock, budget, maxBufferedBody);
     output =
         new ConnectionOutput(
             channel, budget, isServerSide ? MemoryUse.RESPONSE_OUTPUT : MemoryUse.REQUEST_OUTPUT);
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionFactory.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionFactory.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Opens connections on which responses arrive, for one message handler. A connection exists before
@@ -16,6 +17,7 @@
   private final Network network;
   private final MessageHandler handler;
   private final MemoryBudget budget;
+  private final LongSupplier clock;
   private final int maxBufferedBody;
   private final long maxBody;
 
@@ -25,18 +27,21 @@
    * @param maxBufferedBody the size of the largest response body that is passed to the handler
    *     completely, in bytes; a larger one is streamed
    * @param maxBody the size of the largest response body that is allowed, in bytes
+   * @param clock gives microseconds
    */
   public ConnectionFactory(
       Network network,
       MessageHandler handler,
       int maxBufferedBody,
       long maxBody,
-      MemoryBudget budget) {
+      MemoryBudget budget,
+      LongSupplier clock) {
     this.network = network;
     this.handler = handler;
     this.maxBufferedBody = maxBufferedBody;
     this.maxBody = maxBody;
     this.budget = budget;
+    this.clock = clock;
   }
 
   /**
@@ -69,7 +74,7 @@
 
     @Override
     public Network.ConnectionHandler onOpening(TransportChannel channel) {
-      connection = new Connection(channel, handler, false, maxBufferedBody, maxBody, budget);
+      connection = new Connection(channel, handler, false, maxBufferedBody, maxBody, budget, clock);
       return connection;
     }
 
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
@@ -2,9 +2,11 @@
 
 import dillcross.net.buffer.MemoryBudget;
 import dillcross.net.buffer.MemoryUse;
+import dillcross.net.buffer.ReadEnd;
 import dillcross.net.buffer.RingBuffer;
 import dillcross.net.transport.TransportChannel;
 import java.io.IOException;
+import java.util.function.LongSupplier;
 
 /**
  * The input of one connection: reads it into a buffer of limited size, and pauses reading while the
@@ -15,12 +17,13 @@
 
   private final Connection connection;
   private final TransportChannel channel;
+  private final LongSupplier clock;
   private final MemoryBudget budget;
   private final int standardWindow; // fits the largest buffered body with its head and framing
   private final RingBuffer buffer;
   private final InputDiscarder discarder = new InputDiscarder();
   private boolean isPaused; // reading is paused until the buffer has space
-  private boolean hasOverrun; // more input followed an open request than may be buffered
+  private long unreadSinceUs; // 0 while all that has arrived was read
   private boolean hasEnded; // no more bytes will arrive
   private boolean wasReset; // the input ended by an error, so a message may be cut short
 
@@ -30,9 +33,14 @@
    * @param maxBufferedBody the size of the largest body that the buffer has to hold, in bytes
    */
   ConnectionInput(
-      Connection connection, TransportChannel channel, MemoryBudget budget, int maxBufferedBody) {
+      Connection connection,
+      TransportChannel channel,
+      LongSupplier clock,
+      MemoryBudget budget,
+      int maxBufferedBody) {
     this.connection = connection;
     this.channel = channel;
+    this.clock = clock;
     this.budget = budget;
     standardWindow = 2 * maxBufferedBody;
     buffer =
@@ -56,9 +64,12 @@
     return hasEnded && !wasReset;
   }
 
-  /** Whether input was discarded because more followed an open request than may be buffered. */
-  public boolean hasOverrun() {
-    return hasOverrun;
+  /**
+   * Since when input may have arrived that was not read; 0 if there is none. What the peer has done
+   * since then, such as ending its output, is not known here.
+   */
+  public long unreadSinceUs() {
+    return unreadSinceUs;
   }
 
   /** Whether reading is paused until the buffer has space. */
@@ -73,10 +84,10 @@
   void fill() {
     int before = buffer.size();
     try {
-      if (connection.isClosing() || hasOverrun) {
+      if (connection.isClosing()) {
         hasEnded |= discard();
       } else {
-        hasEnded |= buffer.read(channel, window());
+        noteReadEnd(buffer.read(channel, window()));
       }
     } catch (IOException e) {
       hasEnded = true;
@@ -85,6 +96,15 @@
     connection.activity().countInput(Math.max(0, buffer.size() - before));
   }
 
+  private void noteReadEnd(ReadEnd end) {
+    hasEnded |= end == ReadEnd.END_OF_STREAM;
+    if (end != ReadEnd.NO_SPACE) {
+      unreadSinceUs = 0;
+    } else if (unreadSinceUs == 0) {
+      unreadSinceUs = clock.getAsLong();
+    }
+  }
+
   /**
    * How many bytes of input may be buffered. While a client's request is open, this is more than
    * one message, because a client's disconnect is seen only once all bytes that it sent before are
@@ -134,23 +154,16 @@
    * Stops reading if the buffer is full, so that the selector does not report the same bytes again.
    */
   public void pauseIfFull() {
-    boolean isBehindRequest =
-        connection.isServerSide()
-            && connection.exchange() != null
-            && !connection.parser().isStreaming();
-    if (isBehindRequest && buffer.size() >= MAX_PIPELINED_BYTES) {
-      // Discards this input, and all that is read later to see a disconnect; the connection closes
-      // after the response.
-      hasOverrun = true;
-      buffer.clear();
-    }
-    if (isFull() || (hasOverrun && discarder.isOverLimit()) || hasEnded) {
+    if (isFull() || hasEnded) {
       isPaused = true; // set also if paused already: the transport may have enabled reads again
       setReadInterest(false);
     }
   }
 
-  /** Resumes reading if it is paused and the buffer has space again. */
+  /**
+   * Resumes reading if it is paused and the buffer has space again. What is left unread is read
+   * soon, because the selector reports nothing if it turns out that there is nothing.
+   */
   public void resume() {
     boolean isRelayBehind =
         connection.parser().isStreaming() && buffer.size() > connection.relayWindow() / 2;
@@ -158,6 +171,9 @@
       isPaused = false;
       setReadInterest(true);
     }
+    if (!isPaused && unreadSinceUs > 0) {
+      schedule();
+    }
   }
 
   private void setReadInterest(boolean interested) {
--- a/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
+++ b/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
@@ -14,6 +14,11 @@
   private static final byte[] CONTINUE =
       "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+  // What the kernels of both sides hold at most of what a client has sent and was not read here:
+  // the
+  // receive buffer of an accepted connection, and a send buffer by Linux's default limits.
+  private static final int MAX_SENT_UNREAD_BYTES = 5 << 20;
+
   private HttpConnectionCodec() {}
 
   /**
@@ -35,6 +40,9 @@
       connection.close();
     } else if (isBusy) {
       connection.input().pauseIfFull();
+      if (connection.input().isFull() && connection.exchange() != null) {
+        connection.handler().onInputFull(connection);
+      }
     }
   }
 
@@ -43,9 +51,10 @@
       connection.close(); // the client has disconnected; the rest of its request is not forwarded
       return;
     }
-    reportBodyComplete(connection);
     connection.relays().transferInbound();
+    reportBodyProgress(connection);
     connection.input().pauseIfFull();
+    connection.input().resume();
   }
 
   /** Parses the next message; returns true if it, or a fault in it, was passed to the handler. */
@@ -68,7 +77,7 @@
       }
       return false;
     }
-    reportBodyComplete(connection);
+    reportBodyProgress(connection);
     return true;
   }
 
@@ -86,12 +95,31 @@
   }
 
   /**
-   * Reports that the last byte of a streamed request has arrived. The request's timeout starts
-   * then, and not when an endpoint takes that byte.
+   * Reports how far a streamed request has arrived. Its timeout starts when its last byte was sent,
+   * and not when an endpoint takes that byte.
    */
-  private static void reportBodyComplete(Connection connection) {
-    if (connection.isServerSide() && connection.parser().hasRestArrived(connection.in())) {
+  static void reportBodyProgress(Connection connection) {
+    HttpMessageParser parser = connection.parser();
+    if (!connection.isServerSide() || !parser.isStreaming()) {
+      return;
+    }
+    if (parser.hasRestArrived(connection.in())) {
       connection.handler().onBodyComplete(connection);
+      return;
+    }
+    connection.handler().onBodyProgress(connection, mayBodyHaveEnded(connection));
+  }
+
+  private static boolean mayBodyHaveEnded(Connection connection) {
+    boolean hasUnread = connection.input().unreadSinceUs() > 0;
+    HttpMessageParser parser = connection.parser();
+    if (!parser.hasUnknownLength()) {
+      return hasUnread && parser.remainingBytes() <= MAX_SENT_UNREAD_BYTES;
     }
+    // The end of a chunked body is found only as the body is taken out of the buffer.
+    ConnectionRelays relays = connection.relays();
+    boolean hasUntaken =
+        relays.hasInbound() ? relays.isInboundBehind() : connection.in().size() > 0;
+    return hasUnread || hasUntaken;
   }
 }
--- a/sidecar/src/main/java/dillcross/net/connection/MessageHandler.java
+++ b/sidecar/src/main/java/dillcross/net/connection/MessageHandler.java
@@ -20,6 +20,20 @@
     // does nothing by default, because handlers of responses receive no request bodies
   }
 
+  /**
+   * A part of a streamed request body has arrived or was passed on, and its last byte has not.
+   * Where {@code mayHaveEnded}, the peer may have sent that byte, because some input was not read
+   * yet.
+   */
+  default void onBodyProgress(Connection connection, boolean mayHaveEnded) {
+    // does nothing by default, because handlers of responses receive no request bodies
+  }
+
+  /** So much input follows an open request that no more of it is read before its response. */
+  default void onInputFull(Connection connection) {
+    // does nothing by default, because only requests can be followed by others
+  }
+
   /**
    * The first bytes of a body of unknown length have arrived, but too few to pass them on. May be
    * called more than once for a message; {@link Connection#passOnCollected} passes them on.
--- a/sidecar/src/main/java/dillcross/net/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/dillcross/net/discovery/DiscoveryClient.java
@@ -68,7 +68,7 @@
     this.address = address;
     connectionFactory =
         new ConnectionFactory(
-            network, this, MAX_LIST_BYTES, MAX_LIST_BYTES, new MemoryBudget(BUDGET_BYTES));
+            network, this, MAX_LIST_BYTES, MAX_LIST_BYTES, new MemoryBudget(BUDGET_BYTES), clock);
   }
 
   /**
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -24,8 +24,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Carries out attempts on connections to endpoints. It never sends a request again by itself: each
@@ -37,7 +37,7 @@
 
   private final RequestCoordinator coordinator;
   private final LongSupplier clock;
-  private final Consumer<Object> readPending; // called before an attempt is sent, with its client
+  private final Predicate<Object> clientCheck; // called before an attempt is sent
   private final ConnectionFactory connectionFactory;
   private final EndpointConnectionPool pool;
   private final RequestEvents events;
@@ -58,8 +58,9 @@
    * Creates an executor with no attempts.
    *
    * @param maxBody the size of the largest response body that is allowed, in bytes
-   * @param readPending called before an attempt is sent, with the client of its request; reads
-   *     input that has arrived from discovery and from that client
+   * @param clientCheck called before an attempt is sent, with the client of its request; reads
+   *     input that has arrived from discovery and from that client, and returns whether the client
+   *     was connected a moment ago
    */
   public AttemptExecutor(
       Network network,
@@ -68,16 +69,16 @@
       EndpointConnectionPool pool,
       long maxBody,
       MemoryBudget budget,
-      Consumer<Object> readPending,
+      Predicate<Object> clientCheck,
       RequestEvents events) {
     this.coordinator = coordinator;
     this.clock = clock;
     this.pool = pool;
-    this.readPending = readPending;
+    this.clientCheck = clientCheck;
     this.events = events;
     connectionFactory =
         new ConnectionFactory(
-            network, this, HttpMessageParser.MAX_BUFFERED_BODY_BYTES, maxBody, budget);
+            network, this, HttpMessageParser.MAX_BUFFERED_BODY_BYTES, maxBody, budget, clock);
   }
 
   /**
@@ -141,11 +142,13 @@
     boolean any = !connected.isEmpty();
     while (!connected.isEmpty()) {
       InFlightAttempt attempt = connected.poll();
-      if (isInFlight(attempt)) {
-        readPending.accept(attempt.command().client());
-      }
-      if (isInFlight(attempt)) {
+      boolean isClientConnected =
+          isInFlight(attempt) && clientCheck.test(attempt.command().client());
+      if (isInFlight(attempt) && isClientConnected) {
         sendIfPermitted(attempt);
+      } else if (isInFlight(attempt)) {
+        coordinator.onClientUnseen(clock.getAsLong(), attempt.command().requestId());
+        end(attempt, AttemptResult.Kind.NOT_SENT, null);
       }
     }
     return any;
@@ -213,6 +216,14 @@
     }
   }
 
+  /** Ends an attempt that the coordinator has withdrawn, unless it was sent. */
+  public void withdraw(NetworkCommand.WithdrawAttempt command) {
+    InFlightAttempt attempt = attempts.get(new AttemptId(command.requestId(), command.attempt()));
+    if (attempt != null && !attempt.isSent()) {
+      end(attempt, AttemptResult.Kind.NOT_SENT, null);
+    }
+  }
+
   /** Ends an attempt that the coordinator has abandoned. */
   public void abandon(NetworkCommand.AbandonAttempt command) {
     InFlightAttempt attempt = attempts.get(new AttemptId(command.requestId(), command.attempt()));
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
@@ -4,6 +4,7 @@
 import dillcross.net.transport.TransportChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.Connection;
@@ -21,6 +22,9 @@
 /** The network on real sockets, with one selector thread. */
 public final class GrizzlyNetwork implements Network {
   private static final int BACKLOG = 1024;
+  // Inherited by accepted connections, and fixed from then on: what a client has sent unseen is
+  // bounded.
+  private static final int RECEIVE_BUFFER_BYTES = 192 << 10;
   private static final Logger LOG = Logger.getLogger(GrizzlyNetwork.class.getName());
 
   private TCPNIOTransport transport;
@@ -55,13 +59,20 @@
   public ListeningSocket bind(InetSocketAddress address, ConnectionAcceptor acceptor)
       throws IOException {
     AcceptCounter counter = new AcceptCounter(acceptor);
-    return new ServerSocket(binder(counter).bind(address, BACKLOG), counter);
+    return open(binder(counter).bind(address, BACKLOG), counter);
   }
 
   @Override
   public ListeningSocket bindInherited(ConnectionAcceptor acceptor) throws IOException {
     AcceptCounter counter = new AcceptCounter(acceptor);
-    return new ServerSocket(binder(counter).bindToInherited(), counter);
+    return open(binder(counter).bindToInherited(), counter);
+  }
+
+  private static ServerSocket open(TCPNIOServerConnection server, AcceptCounter counter)
+      throws IOException {
+    ServerSocketChannel channel = (ServerSocketChannel) server.getChannel();
+    channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+    return new ServerSocket(server, counter);
   }
 
   private TCPNIOBindingHandler binder(ConnectionAcceptor acceptor) {
--- a/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
@@ -120,6 +120,16 @@
         && remaining <= in.size();
   }
 
+  /** Whether the end of the body that is read is known only once it is found. */
+  public boolean hasUnknownLength() {
+    return chunks != null || remaining == HttpMessage.UNTIL_CLOSE;
+  }
+
+  /** The number of bytes of a body of known length that were not taken yet. */
+  public long remainingBytes() {
+    return remaining;
+  }
+
   /**
    * Whether all of a streamed body has been taken; {@link #finish} then allows the next message to
    * be parsed.
@@ -398,7 +408,8 @@
       return;
     }
     HttpMessage message = parsed.get();
-    boolean hasNoBody = message instanceof HttpResponse response && hasNoBody(response.status());
+    boolean hasNoBody =
+        message instanceof HttpResponse response && HttpStatus.hasNoBody(response.status());
     boolean isChunked = message.field(HeaderNames.TRANSFER_ENCODING) != null && !hasNoBody;
     long length = bodyLength(message, isChunked, hasNoBody);
     if (length > maxBody) {
@@ -423,12 +434,6 @@
     head = message;
   }
 
-  private static boolean hasNoBody(int status) {
-    return HttpStatus.isInterim(status)
-        || status == HttpStatus.NO_CONTENT
-        || status == HttpStatus.NOT_MODIFIED;
-  }
-
   private long bodyLength(HttpMessage message, boolean isChunked, boolean hasNoBody) {
     String length = message.field(HeaderNames.CONTENT_LENGTH);
     if (hasNoBody) {
--- a/sidecar/src/main/java/dillcross/net/http/HttpStatus.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpStatus.java
@@ -71,4 +71,9 @@
       default -> "Other";
     };
   }
+
+  /** Whether a response of this status has no body, whatever its fields say. */
+  static boolean hasNoBody(int status) {
+    return isInterim(status) || status == NO_CONTENT || status == NOT_MODIFIED;
+  }
 }
--- a/sidecar/src/main/java/dillcross/sidecar/NetworkCommand.java
+++ b/sidecar/src/main/java/dillcross/sidecar/NetworkCommand.java
@@ -24,6 +24,9 @@
   /** Abandon an attempt, and report how much of its request was written. */
   record AbandonAttempt(long requestId, int attempt) implements NetworkCommand {}
 
+  /** End an attempt as not sent, unless it was sent. */
+  record WithdrawAttempt(long requestId, int attempt) implements NetworkCommand {}
+
   /** Forward a successful answer to the client. */
   record ForwardResponse(Object client, Object content) implements NetworkCommand {}
 
--- a/sidecar/src/main/java/dillcross/sidecar/OpenRequest.java
+++ b/sidecar/src/main/java/dillcross/sidecar/OpenRequest.java
@@ -19,6 +19,7 @@
   private OpenAttempt streaming; // null until a response is streamed to the client
   private boolean isFinished;
   private long deadlineUs = BODY_INCOMPLETE;
+  private long mayHaveEndedSinceUs; // 0 unless the last byte of the body may have been sent unseen
 
   OpenRequest(Object client, Object content, long timeoutUs) {
     this.client = client;
@@ -36,19 +37,34 @@
     return content;
   }
 
-  /** Starts the client's timeout, at the last byte of the body. */
-  void startDeadline(long nowUs) {
-    deadlineUs = nowUs + timeoutUs;
+  /** Starts the client's timeout, when the last byte of the body was sent. */
+  void startDeadline(long sentUs) {
+    deadlineUs = sentUs + timeoutUs;
   }
 
-  /** When the client stops waiting; {@code Long.MAX_VALUE} while the body is incomplete. */
+  /**
+   * When the client may stop waiting; {@code Long.MAX_VALUE} while it can't have sent the last byte
+   * of the body.
+   */
   long deadlineUs() {
-    return deadlineUs;
+    return isBodyIncomplete() && mayHaveEndedSinceUs > 0
+        ? mayHaveEndedSinceUs + timeoutUs
+        : deadlineUs;
   }
 
-  /** The client's deadline; while the body is incomplete, as if its last byte came now. */
+  /** Records since when the client may have sent the last byte of the body; 0 if it can't have. */
+  void setMayHaveEndedSince(long sinceUs) {
+    mayHaveEndedSinceUs = sinceUs;
+  }
+
+  /** Since when the client may have sent the last byte of the body; 0 if it can't have. */
+  long mayHaveEndedSinceUs() {
+    return mayHaveEndedSinceUs;
+  }
+
+  /** The client's deadline; while it is not known, as if the last byte of the body came now. */
   long earliestDeadlineUs(long nowUs) {
-    return isBodyIncomplete() ? nowUs + timeoutUs : deadlineUs;
+    return Math.min(deadlineUs(), nowUs + timeoutUs);
   }
 
   boolean isBodyIncomplete() {
--- a/sidecar/src/main/java/dillcross/sidecar/OpenRequests.java
+++ b/sidecar/src/main/java/dillcross/sidecar/OpenRequests.java
@@ -71,6 +71,15 @@
     }
   }
 
+  /** Withdraws the attempts in flight that were not sent yet. */
+  void withdrawAttempts(long id, OpenRequest request) {
+    for (int number = 0; number < request.attemptCount(); number++) {
+      if (request.findInFlight(number) != null) {
+        commands.add(new NetworkCommand.WithdrawAttempt(id, number));
+      }
+    }
+  }
+
   private void abandon(long id, int number, OpenAttempt attempt, boolean timedOut) {
     attempt.abandon(timedOut);
     commands.add(new NetworkCommand.AbandonAttempt(id, number));
--- a/sidecar/src/main/java/dillcross/sidecar/RequestCoordinator.java
+++ b/sidecar/src/main/java/dillcross/sidecar/RequestCoordinator.java
@@ -120,8 +120,8 @@
     return id;
   }
 
-  private void startDeadline(long nowUs, long id, OpenRequest request) {
-    request.startDeadline(nowUs);
+  private void startDeadline(long sentUs, long id, OpenRequest request) {
+    request.startDeadline(sentUs);
     timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
   }
 
@@ -138,15 +138,50 @@
   }
 
   /**
-   * Reports that the last byte of the request's body has arrived, which starts the client's
-   * timeout. Later calls for the same request have no effect.
+   * Reports whether the client may have sent the last byte of the request's body, although it was
+   * not read yet. From when it may, the client's timeout runs.
+   */
+  public void onBodyProgress(long nowUs, long id, boolean mayHaveEnded) {
+    OpenRequest request = requests.find(id);
+    boolean isChange =
+        request != null
+            && request.isBodyIncomplete()
+            && mayHaveEnded != (request.mayHaveEndedSinceUs() > 0);
+    if (!isChange) {
+      return;
+    }
+    request.setMayHaveEndedSince(mayHaveEnded ? nowUs : 0);
+    balancer.onBodyDeadline(nowUs, id, request.deadlineUs());
+    if (mayHaveEnded) {
+      timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
+    }
+  }
+
+  /**
+   * Reports that the last byte of the request's body has arrived. The client's timeout counts from
+   * when it was sent at the earliest. Later calls for the same request have no effect.
    */
   public void onBodyComplete(long nowUs, long id) {
     OpenRequest request = requests.find(id);
     if (request != null && request.isBodyIncomplete()) {
+      long sinceUs = request.mayHaveEndedSinceUs();
+      long sentUs = sinceUs > 0 ? sinceUs : nowUs;
       request.completeBody(nowUs);
+      startDeadline(sentUs, id, request);
+      balancer.onBodyDeadline(nowUs, id, request.deadlineUs());
       balancer.onRequestBody(nowUs, id, true, request.isReplayable());
-      startDeadline(nowUs, id, request);
+    }
+  }
+
+  /**
+   * Reports that it can't be known whether the client is still connected, because more input
+   * followed its request than is read. No attempt of it is sent any more; what was sent goes on.
+   */
+  public void onClientUnseen(long nowUs, long id) {
+    OpenRequest request = requests.find(id);
+    if (request != null && !request.isFinished()) {
+      balancer.onNoFurtherAttempts(nowUs, id);
+      requests.withdrawAttempts(id, request);
     }
   }
 
--- a/sidecar/src/main/java/dillcross/sidecar/TimerHandler.java
+++ b/sidecar/src/main/java/dillcross/sidecar/TimerHandler.java
@@ -59,7 +59,7 @@
 
   private void onRequestDeadline(TimerQueue.Timer timer) {
     OpenRequest request = requests.find(timer.requestId());
-    if (request == null) {
+    if (request == null || request.deadlineUs() > timer.dueUs()) { // it was moved meanwhile
       return;
     }
     requests.timeOutAttempts(timer.requestId(), request);
--- a/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
+++ b/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
@@ -122,6 +122,11 @@
         .replace("\r\n\r\n", "\r\nContent-Length: " + bodyBytes + "\r\n\r\n");
   }
 
+  /** The head of a request whose body is chunked. */
+  String postChunked() {
+    return head("POST /once/x").replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n");
+  }
+
   private String head(String methodAndPath) {
     requestCount++;
     return methodAndPath
