Go on logging while the process shuts down

Seen in a test of an upgrade: 'shutting down' never came, and neither did any line about the last requests. The JVM closes the log in a shutdown hook of its own, beside the one that stops the sidecar.

--- a/sidecar/src/main/java/dillcross/cli/ServeCommand.java
+++ b/sidecar/src/main/java/dillcross/cli/ServeCommand.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.function.LongSupplier;
+import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
 /**
@@ -93,6 +94,9 @@
     SidecarServer server = assemble();
     server.open(config.adminAddress());
     warmUpCode();
+    if (LogManager.getLogManager() instanceof ShutdownLogManager manager) {
+      manager.keepHandlers();
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(server), "stop"));
     if (config.inheritsListeningSocket()) {
       server.startInherited();
