Do not run an id again that came before and whose client has left

Cause: an id was known for as long as its client's connection waited (openIds), not for as long as what was sent for it could run. Each process had a set of its own.

Change: the id of a request that may not simply be repeated is kept for 60 s, where its client left or got no answer that makes a retry safe, unless no endpoint can have run it (InboundRequest.mayHaveRun).

A log of ids that the new process reads was the other way weighed: it needs an order of write, read and forward on every request; a claim in shared memory is that order.

RequestIdTableTest, SharedMemoryTest. ShutdownIT, ClientConnectionsIT pass.

--- a/sidecar/src/main/java/dillcross/cli/ServeCommand.java
+++ b/sidecar/src/main/java/dillcross/cli/ServeCommand.java
@@ -11,6 +11,7 @@
 import dillcross.membership.Membership;
 import dillcross.net.SidecarServer;
 import dillcross.net.WarmUp;
+import dillcross.net.client.RequestIdTable;
 import dillcross.net.grizzly.GrizzlyNetwork;
 import dillcross.net.membership.MembershipService;
 import dillcross.net.membership.PacketCodec;
@@ -19,6 +20,8 @@
 import dillcross.sidecar.SidecarLimits;
 import dillcross.sidecar.SidecarSettings;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.function.LongSupplier;
@@ -31,6 +34,7 @@
  */
 final class ServeCommand {
   private static final Logger LOG = Logger.getLogger(ServeCommand.class.getName());
+  private static final String RUN_IDS_FILE = "dillcross-run-ids";
   private static final int WARM_UP_REQUESTS = 120;
   // The share of the heap that may be held for clients and endpoints.
   private static final double HEAP_SHARE = 3 / 8.0;
@@ -131,6 +135,10 @@
             settings,
             config.discoveryAddress(),
             limits);
+    if (config.inheritsListeningSocket()) {
+      EnvironmentVariables.temporaryFolder(System.getenv())
+          .ifPresent(folder -> shareRunIds(server, Path.of(folder)));
+    }
     membership.ifPresent(member -> server.join(membershipService(member, clock.getAsLong())));
     if (!config.pollsDiscovery()) {
       server.requireFirstList();
@@ -138,6 +146,21 @@
     return server;
   }
 
+  /** Without the file the process runs on: only ids of the other process are not known to it. */
+  private static void shareRunIds(SidecarServer server, Path folder) {
+    try {
+      ByteBuffer memory = SharedMemory.map(folder.resolve(RUN_IDS_FILE), RequestIdTable.BYTES);
+      server.shareRunIds(RequestIdTable.shared(memory, ServeCommand::monotonicUs));
+    } catch (IOException e) {
+      LOG.warning("request ids are not shared with another process: " + e);
+    }
+  }
+
+  /** The time since the machine's start, which all its processes have in common. */
+  private static long monotonicUs() {
+    return System.nanoTime() / NANOS_PER_MICRO;
+  }
+
   /** Runs the request path before clients connect, as the JVM runs new code slowly. */
   private void warmUpCode() {
     LoadBalancer balancer = new LoadBalancer(0, config.settings().balancer());
--- a/sidecar/src/main/java/dillcross/config/EnvironmentVariables.java
+++ b/sidecar/src/main/java/dillcross/config/EnvironmentVariables.java
@@ -18,6 +18,9 @@
   /** The path of the operators' file, see {@link OperatorConfig}. */
   private static final String OPERATOR_FILE = PREFIX + "OPERATOR";
 
+  /** The folder for temporary files, which a process has in common with the one it replaces. */
+  private static final String TEMPORARY_FOLDER = "TMPDIR";
+
   private EnvironmentVariables() {}
 
   /**
@@ -35,6 +38,11 @@
     return nonEmpty(environment, OPERATOR_FILE);
   }
 
+  /** The folder for temporary files that the environment names; empty where it names none. */
+  public static Optional<String> temporaryFolder(Map<String, String> environment) {
+    return nonEmpty(environment, TEMPORARY_FOLDER);
+  }
+
   private static Optional<String> nonEmpty(Map<String, String> environment, String variable) {
     return Optional.ofNullable(environment.get(variable)).filter(value -> !value.isEmpty());
   }
--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -7,6 +7,7 @@
 import dillcross.net.client.Caller;
 import dillcross.net.client.ClientConnections;
 import dillcross.net.client.ClientListener;
+import dillcross.net.client.RequestIdTable;
 import dillcross.net.discovery.DiscoveryClient;
 import dillcross.net.endpoint.AttemptExecutor;
 import dillcross.net.endpoint.EndpointConnectionPool;
@@ -161,6 +162,11 @@
     coordinator.onDiscoveryMoved(now);
   }
 
+  /** Shares the ids of requests that must not run twice with the process that this one replaces. */
+  public void shareRunIds(RequestIdTable table) {
+    listener.setRunIds(table);
+  }
+
   /**
    * Makes this sidecar take part in the fleet's membership, from the first iteration on, and lets
    * the admin endpoint show it.
--- a/sidecar/src/main/java/dillcross/net/client/ClientExpiry.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientExpiry.java
@@ -85,7 +85,7 @@
     long stalledUs = Math.min(silentUs, connection.relays().inboundStalledUs(nowUs));
     if (!waitsForEndpoint(connection) && silentUs > STALL_TIMEOUT_US) {
       exchanges.record(RequestEvent.REQUEST_INCOMPLETE, connection);
-      exchanges.end(connection);
+      exchanges.endUnserved(connection);
       coordinator.onClientDisconnected(nowUs, pending.requestId());
       responder.rejectAndClose(
           connection, HttpResponse.text(HttpStatus.REQUEST_TIMEOUT, "the request stopped coming"));
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -1,6 +1,7 @@
 package dillcross.net.client;
 
 import dillcross.model.BalancerSettings;
+import dillcross.model.Idempotency;
 import dillcross.model.RequestClass;
 import dillcross.net.admin.AdminPaths;
 import dillcross.net.admin.Lifecycle;
@@ -35,6 +36,8 @@
   private static final long MAX_UNSEEN_US = 50_000;
   private static final int MICROS_PER_MILLI = 1000;
   private static final String UNREADABLE_BODY = "malformed request, or no room for it";
+  private static final String REPEATED_ID_BODY =
+      HeaderNames.REQUEST_ID + " is that of a request that is open, or that may have run before";
   private static final String UNKNOWN_CLASS_BODY = "unknown category"; // the protocol's term
 
   private final RequestCoordinator coordinator;
@@ -77,6 +80,11 @@
     expiry = new ClientExpiry(coordinator, lifecycle, connections, exchanges, responder);
   }
 
+  /** Shares the ids of requests that must not run twice with the other users of the table. */
+  public void setRunIds(RequestIdTable table) {
+    exchanges.setRunIds(table);
+  }
+
   /** Sends clients of this listener their responses. */
   public ClientResponder responder() {
     return responder;
@@ -128,7 +136,7 @@
     Optional<PendingRequest> pending = ClientExchanges.find(connection);
     if (pending.isPresent()) {
       exchanges.record(RequestEvent.CLIENT_DISCONNECTED, connection);
-      exchanges.end(connection);
+      exchanges.endUnserved(connection);
       coordinator.onClientDisconnected(clock.getAsLong(), pending.get().requestId());
     }
     connections.resumeAccepting();
@@ -199,18 +207,26 @@
           connection, HttpResponse.text(HttpStatus.NOT_FOUND, UNKNOWN_CLASS_BODY));
       return;
     }
-    Optional<HttpResponse> rejection =
-        RequestValidator.check(request, requestClass, exchanges::isOpen);
+    Optional<HttpResponse> rejection = RequestValidator.check(request, requestClass);
     if (rejection.isPresent()) {
       recordInvalid(request, rejection.get().status());
       responder.rejectAndClose(connection, rejection.get());
     } else if (budget.isExhausted()) {
       responder.respond(Caller.of(connection, request), noMemory());
-    } else {
+    } else if (exchanges.tryTakeId(
+        request.field(HeaderNames.REQUEST_ID), isIdempotent(requestClass))) {
       accept(connection, request, requestClass);
+    } else {
+      recordInvalid(request, HttpStatus.BAD_REQUEST);
+      responder.rejectAndClose(
+          connection, HttpResponse.text(HttpStatus.BAD_REQUEST, REPEATED_ID_BODY));
     }
   }
 
+  private static boolean isIdempotent(RequestClass requestClass) {
+    return requestClass.idempotency() == Idempotency.IDEMPOTENT;
+  }
+
   private static String firstSegment(String path) {
     int end = path.indexOf('/', 1);
     return end < 0 ? path.substring(1) : path.substring(1, end);
@@ -233,8 +249,10 @@
             HeaderNames.FLAG_SET.equals(request.field(HeaderNames.CLIENT_RETRY)),
             request.isStreaming());
     long requestId = coordinator.onRequest(clock.getAsLong(), incoming);
-    exchanges.begin(
-        connection, new PendingRequest(requestId, clientId, inbound, clock.getAsLong()));
+    ClientExchanges.begin(
+        connection,
+        new PendingRequest(
+            requestId, clientId, isIdempotent(requestClass), inbound, clock.getAsLong()));
   }
 
   // Shutdown and expiry
--- a/sidecar/src/main/java/dillcross/net/client/ClientResponder.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientResponder.java
@@ -37,7 +37,12 @@
   public void respond(Caller caller, HttpResponse response) {
     Connection connection = caller.connection();
     recordFailure(connection, response.status());
-    exchanges.end(connection);
+    boolean mayComeAgain = response.status() == HttpStatus.SERVICE_UNAVAILABLE;
+    if (response.status() == HttpStatus.OK || mayComeAgain) {
+      exchanges.end(connection);
+    } else {
+      exchanges.endUnserved(connection);
+    }
     connections.markIdle(connection);
     if (closesAfter(caller)) {
       connection.closeAfterNextMessage();
@@ -103,10 +108,12 @@
    */
   public void finishStreaming(Caller caller, boolean complete) {
     Connection connection = caller.connection();
-    if (!complete) {
+    if (complete) {
+      exchanges.end(connection);
+    } else {
       exchanges.record(RequestEvent.ANSWER_TRUNCATED, connection);
+      exchanges.endUnserved(connection);
     }
-    exchanges.end(connection);
     connections.markIdle(connection);
     if (!complete && connection.closesAfterResponse() && caller.isHttp10()) {
       connection.reset();
--- a/sidecar/src/main/java/dillcross/net/client/PendingRequest.java
+++ b/sidecar/src/main/java/dillcross/net/client/PendingRequest.java
@@ -7,9 +7,15 @@
  *
  * @param requestId the coordinator's id
  * @param clientId the client's id
+ * @param isIdempotent whether the request may run twice
  * @param acceptedUs when it was accepted, in microseconds
  */
-record PendingRequest(long requestId, String clientId, InboundRequest inbound, long acceptedUs) {
+record PendingRequest(
+    long requestId,
+    String clientId,
+    boolean isIdempotent,
+    InboundRequest inbound,
+    long acceptedUs) {
   private static final int MICROS_PER_MILLI = 1000;
 
   /** The request and its age, for the log. */
--- a/sidecar/src/main/java/dillcross/net/client/RequestValidator.java
+++ b/sidecar/src/main/java/dillcross/net/client/RequestValidator.java
@@ -7,7 +7,6 @@
 import dillcross.net.http.HttpResponse;
 import dillcross.net.http.HttpStatus;
 import java.util.Optional;
-import java.util.function.Predicate;
 
 /**
  * Checks clients' requests before they are admitted, so that no endpoint receives an invalid one.
@@ -22,22 +21,19 @@
   /**
    * Checks a request against its class.
    *
-   * @param isOpen whether the request of this id waits for its response
    * @return the response that rejects the request; empty if the request is valid
    */
-  static Optional<HttpResponse> check(
-      HttpRequest request, RequestClass requestClass, Predicate<String> isOpen) {
+  static Optional<HttpResponse> check(HttpRequest request, RequestClass requestClass) {
     String method =
         requestClass.idempotency() == Idempotency.IDEMPOTENT ? HttpRequest.GET : HttpRequest.POST;
     if (!request.method().equals(method)) {
       return Optional.of(HttpResponse.methodNotAllowed(method));
     }
-    return findFault(request, requestClass, isOpen)
+    return findFault(request, requestClass)
         .map(text -> HttpResponse.text(HttpStatus.BAD_REQUEST, text));
   }
 
-  private static Optional<String> findFault(
-      HttpRequest request, RequestClass requestClass, Predicate<String> isOpen) {
+  private static Optional<String> findFault(HttpRequest request, RequestClass requestClass) {
     String id = request.field(HeaderNames.REQUEST_ID);
     boolean needsKey = requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY;
     if (request.method().equals(HttpRequest.GET) && request.body().length > 0) {
@@ -54,10 +50,6 @@
       // Endpoints could not deduplicate a retry without the key.
       return Optional.of(HeaderNames.IDEMPOTENCY_KEY + " is missing or malformed");
     }
-    if (isOpen.test(id)) {
-      // If two open requests had the same id, the client could not tell their responses apart.
-      return Optional.of(HeaderNames.REQUEST_ID + " is that of a request that is open");
-    }
     return Optional.empty();
   }
 
--- a/sidecar/src/main/java/dillcross/net/connection/InboundRequest.java
+++ b/sidecar/src/main/java/dillcross/net/connection/InboundRequest.java
@@ -13,6 +13,7 @@
   private final Connection source;
   private final MemoryHold hold; // null for a request that the sidecar makes itself
   private int users = 1;
+  private int possibleRuns; // attempts that were sent, and are not known not to have run
 
   /**
    * Creates a request with one user, the client.
@@ -41,6 +42,21 @@
     return source;
   }
 
+  /** Records that the request is sent to an endpoint, which may run it. */
+  public void markSent() {
+    possibleRuns++;
+  }
+
+  /** Records that an endpoint to which the request was sent did not run it. */
+  public void markNotRun() {
+    possibleRuns--;
+  }
+
+  /** Whether an endpoint may have run the request, or may still run it. */
+  public boolean mayHaveRun() {
+    return possibleRuns > 0;
+  }
+
   /** Adds a user, which has to call {@link #release} once. */
   public void retain() {
     users++;
--- a/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
+++ b/sidecar/src/main/java/dillcross/net/endpoint/AttemptExecutor.java
@@ -182,6 +182,7 @@
       return;
     }
     attempt.markSent();
+    inbound.markSent();
     connection.send(forwarded);
     if (request.isStreaming() && connection.isOpen()) {
       boolean chunked = request.remainingBytes() == HttpMessage.UNKNOWN;
@@ -252,6 +253,9 @@
     if (kind != AttemptResult.Kind.SUCCEEDED && !isWarmUp) {
       events.record(RequestEvent.ATTEMPT_ENDED, () -> attempt.describe(result, clock.getAsLong()));
     }
+    if (attempt.isSent() && result.isNeverRun()) {
+      attempt.request().markNotRun();
+    }
     attempt.request().release();
     connecting.remove(attempt);
     if (attempt.connection() != null) {
--- a/sidecar/src/main/java/dillcross/sidecar/AttemptResult.java
+++ b/sidecar/src/main/java/dillcross/sidecar/AttemptResult.java
@@ -44,6 +44,11 @@
     };
   }
 
+  /** Whether the endpoint surely did not execute the request, and will not. */
+  public boolean isNeverRun() {
+    return kind == Kind.OVERLOADED || progress != WriteProgress.FULLY_WRITTEN;
+  }
+
   /** An endpoint executes a request only after its last byte: one not fully written has not run. */
   private AttemptOutcome ifWritten(AttemptOutcome outcome) {
     return progress == WriteProgress.FULLY_WRITTEN ? outcome : AttemptOutcome.CONNECT_FAILED;
