Tests, known red: others wait while one client sends at full speed

Since the flood of health checks leaves the others without answers: input that may be unread is scheduled once more for each message, so the reads that are scheduled double.

--- a/sidecar/src/test/java/dillcross/net/http/HttpMessageParserTest.java
+++ b/sidecar/src/test/java/dillcross/net/http/HttpMessageParserTest.java
@@ -10,6 +10,7 @@
 import dillcross.net.buffer.MemoryUse;
 import dillcross.net.buffer.RingBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -423,4 +424,28 @@
     assertEquals(60_000, message.body().length + message.remainingBytes());
     assertEquals(1000, message.body().length);
   }
+
+  /** Guards against: others wait while the tiny chunks of one client are read all at once. */
+  @Test
+  void readsManyTinyChunksInSteps() {
+    int chunks = 10_000;
+    MemoryBudget budget = new MemoryBudget(1 << 20);
+    RingBuffer in = new RingBuffer(1 << 17, budget, MemoryUse.REQUEST_INPUT);
+    in.add(
+        ("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "1\r\nx\r\n".repeat(chunks)
+                + "0\r\n\r\n")
+            .getBytes(StandardCharsets.ISO_8859_1));
+    HttpMessageParser parser = new HttpMessageParser(true, 1 << 16, 1 << 20, budget);
+
+    int steps = 1;
+    Optional<HttpMessage> message = parser.parse(in, false);
+    while (message.isEmpty()) {
+      steps++;
+      message = parser.parse(in, false);
+    }
+
+    assertTrue(steps >= chunks / 500, "steps: " + steps);
+    assertEquals(chunks, message.get().body().length);
+  }
 }
