Bound what one connection gets of the selector thread in an iteration

A read that handles what is left in a buffer was scheduled anew for each message, beside the reads that the selector reports, so the reads scheduled for one connection grew by one an iteration: after a second each iteration answered hundreds of its requests before anybody else's. And chunks were read and forwarded to the end of the buffer in one go, 11,000 of them where each has one byte.

A parser reads 200 chunks at once, a relay moves 200 pieces, and the rest is left to the next iteration. A chunk's size is matched by a compiled pattern.

--- a/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
+++ b/sidecar/src/main/java/dillcross/net/connection/BodyRelay.java
@@ -25,6 +25,10 @@
   private static final int WINDOW_BYTES = 64 << 10;
   private static final int SCARCE_WINDOW_BYTES = 8 << 10;
 
+  // Pieces that are moved in one call, because other connections wait meanwhile; a body may come in
+  // chunks of one byte.
+  private static final int MAX_MOVES_AT_ONCE = 200;
+
   private static final int MAX_FRAMING_BYTES = 16; // around one chunk, or at the end of the body
   private static final byte[] LINE_END = HttpMessage.lineEnd();
   private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
@@ -90,18 +94,19 @@
     }
     HttpMessageParser parser = source.parser();
     int available = availableBody();
-    boolean moved = false;
-    while (available > 0) {
-      int space = freeBytes(available);
-      if (space <= 0) {
-        break;
-      }
+    int moves = 0;
+    int space = freeBytes(available);
+    while (available > 0 && space > 0 && moves < MAX_MOVES_AT_ONCE) {
       move(Math.min(available, space));
-      moved = true;
+      moves++;
       available = availableBody();
+      space = freeBytes(available);
+    }
+    isTargetBehind = available > 0 && space <= 0;
+    if (available > 0 && !isTargetBehind) {
+      source.input().schedule();
     }
-    isTargetBehind = available > 0;
-    if (moved) {
+    if (moves > 0) {
       listener.onBytesReleased();
     }
     boolean isComplete = parser.isBodyComplete();
--- a/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
+++ b/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
@@ -57,7 +57,10 @@
     connection.input().resume();
   }
 
-  /** Parses the next message; returns true if it, or a fault in it, was passed to the handler. */
+  /**
+   * Parses the next message; returns false if more input is needed before it, or a fault in it, can
+   * be passed to the handler.
+   */
   private static boolean readMessage(Connection connection) {
     HttpMessageParser parser = connection.parser();
     Optional<HttpMessage> message =
@@ -75,7 +78,10 @@
       if (parser.isCollecting()) {
         connection.handler().onBodyCollecting(connection);
       }
-      return false;
+      if (parser.hasMoreChunks()) {
+        connection.input().schedule();
+      }
+      return parser.hasMoreChunks();
     }
     reportBodyProgress(connection);
     return true;
--- a/sidecar/src/main/java/dillcross/net/grizzly/ConnectionFilter.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/ConnectionFilter.java
@@ -41,6 +41,11 @@
     HANDLER.set(connection, handler);
   }
 
+  /** The handler of a connection's events. */
+  static Network.ConnectionHandler handler(NIOConnection connection) {
+    return HANDLER.get(connection);
+  }
+
   @Override
   public NextAction handleAccept(FilterChainContext context) {
     NIOConnection connection = (NIOConnection) context.getConnection();
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyChannel.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyChannel.java
@@ -20,6 +20,7 @@
   private static final int RESET = 0; // the SO_LINGER seconds that make a close a reset
 
   private final NIOConnection connection;
+  private boolean isReadScheduled;
   private Buffer unfinished; // the bytes of the unfinished write; null if there is none
 
   GrizzlyChannel(NIOConnection connection) {
@@ -83,8 +84,22 @@
   }
 
   @Override
-  public void scheduleRead() throws IOException {
-    connection.simulateIOEvent(IOEvent.READ);
+  public void scheduleRead() {
+    if (!isReadScheduled) {
+      isReadScheduled = true;
+      TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
+      transport
+          .getSelectorHandler()
+          .enque(connection.getSelectorRunner(), this::runScheduledRead, null);
+    }
+  }
+
+  private boolean runScheduledRead() {
+    isReadScheduled = false;
+    if (connection.isOpen()) {
+      ConnectionFilter.handler(connection).onReadable();
+    }
+    return true;
   }
 
   @Override
--- a/sidecar/src/main/java/dillcross/net/http/ChunkDecoder.java
+++ b/sidecar/src/main/java/dillcross/net/http/ChunkDecoder.java
@@ -1,12 +1,14 @@
 package dillcross.net.http;
 
 import dillcross.net.buffer.RingBuffer;
+import java.util.regex.Pattern;
 
 /**
  * Removes the framing of a chunked body: chunk sizes, the line ends after chunks, and the trailer.
  */
 final class ChunkDecoder {
   private static final int MAX_LINE_BYTES = 4 << 10; // of a chunk size or of a trailer field
+  private static final Pattern SIZE = Pattern.compile("[0-9a-fA-F]{1,8}");
   private static final int HEXADECIMAL = 16;
 
   private boolean isLineEndPending; // a chunk was read, and the line end after it was not
@@ -85,7 +87,7 @@
   private long readSize(String line, long maxBytes) {
     int extension = line.indexOf(';');
     String digits = (extension < 0 ? line : line.substring(0, extension)).trim();
-    if (!digits.matches("[0-9a-fA-F]{1,8}")) {
+    if (!SIZE.matcher(digits).matches()) {
       fault = HttpStatus.BAD_REQUEST;
       return 0;
     }
--- a/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
@@ -20,14 +20,14 @@
 
   static final int MAX_HEAD_BYTES = 16 << 10;
   private static final int MAX_REQUEST_HEAD_BYTES = 8 << 10; // endpoints may reject larger ones
+  // Chunks that are read in one call, because other connections wait meanwhile.
+  private static final int MAX_CHUNKS_AT_ONCE = 200;
   private static final int MAX_INTERIM_RESPONSES = 16; // a few are usual; more may never end
-  private static final String RESPONSE_START = "HTTP/1.";
-  private static final int HEAD_END_BYTES = 4; // two line ends
-  private static final int LINE_END_BYTES = 2;
   // The heap that a field takes beside its characters: a map entry, and two strings with arrays.
   private static final int FIELD_OVERHEAD_BYTES = 136;
 
   private final boolean parsesRequests;
+  private final HeadScanner headScanner;
   private final HttpHeadParser headParser;
   private final int maxBufferedBody;
   private final long maxBody;
@@ -39,12 +39,12 @@
   private long received; // bytes of the body that were taken
   private ChunkDecoder chunks; // null if the body is not chunked
   private RingBuffer collected; // bytes of a body of unknown length; null for a known length
+  private boolean hasMoreChunks; // the last call has left some for the next one
   private boolean isCollectingOver; // what was collected of the body is to be returned
   private boolean isHeadRefused; // the memory budget had no space for the head
   private boolean isStreaming; // the caller takes the rest of the body as it arrives
   private boolean isBodyComplete; // all of the body has been taken
   private int interimResponses; // in a row, before the final response
-  private int scanned; // bytes already searched for the end of the head
   private int fault; // an HTTP status code; 0 while nothing is wrong
   private boolean expectsContinue; // the sender waits for 100 Continue, and was not told yet
 
@@ -65,6 +65,7 @@
     this.budget = budget;
     held = new MemoryHold(budget);
     use = parsesRequests ? MemoryUse.REQUEST_INPUT : MemoryUse.RESPONSE_INPUT;
+    headScanner = new HeadScanner(parsesRequests);
     headParser = new HttpHeadParser(parsesRequests);
   }
 
@@ -83,6 +84,11 @@
     return head != null && !isStreaming && collected != null && collected.size() > 0;
   }
 
+  /** Whether the last call of {@link #parse} has left input for another call. */
+  public boolean hasMoreChunks() {
+    return hasMoreChunks;
+  }
+
   /** Makes {@link #parse} return the message with what was collected of its body. */
   public void endCollecting() {
     isCollectingOver = isCollecting();
@@ -262,7 +268,12 @@
    */
   private Optional<byte[]> readUnknownLength(RingBuffer in, boolean ended) {
     int available = availableBody(in, ended);
-    while (available > 0) {
+    hasMoreChunks = false;
+    for (int taken = 0; available > 0; taken++) {
+      if (taken == MAX_CHUNKS_AT_ONCE) {
+        hasMoreChunks = true;
+        return Optional.empty();
+      }
       if (collected.size() + available > maxBufferedBody) {
         return Optional.of(collectedBytes());
       }
@@ -323,17 +334,15 @@
   }
 
   private boolean readHead(RingBuffer in) {
-    skipEmptyLines(in);
-    int end = findHeadEnd(in);
+    int end = headScanner.findEnd(in);
     int maxBytes = parsesRequests ? MAX_REQUEST_HEAD_BYTES : MAX_HEAD_BYTES;
     if (end > maxBytes || (end < 0 && in.size() > maxBytes)) {
       fault = HttpStatus.HEADER_FIELDS_TOO_LARGE;
-    } else if (end < 0 && !startsLikeMessage(in)) {
+    } else if (end < 0 && !headScanner.startsLikeMessage(in)) {
       fault = HttpStatus.BAD_REQUEST;
     } else if (end >= 0) {
       String[] lines = AsciiText.read(in, 0, end).split(HttpMessage.LINE_END, -1);
-      in.skip(end + HEAD_END_BYTES);
-      scanned = 0;
+      headScanner.skipHead(in, end);
       startMessage(headParser.parse(lines));
       holdHead(end + lines.length * FIELD_OVERHEAD_BYTES);
     }
@@ -350,57 +359,6 @@
     }
   }
 
-  /** Skips empty lines, which are allowed before a message. */
-  private void skipEmptyLines(RingBuffer in) {
-    while (in.size() >= LINE_END_BYTES && isLineEnd(in, 0)) {
-      in.skip(LINE_END_BYTES);
-      scanned = 0;
-    }
-  }
-
-  /**
-   * The index at which the last line of the head ends; -1 if the empty line after it has not
-   * arrived.
-   */
-  private int findHeadEnd(RingBuffer in) {
-    int from = Math.max(0, scanned - (HEAD_END_BYTES - 1));
-    scanned = in.size();
-    for (int i = from; i + HEAD_END_BYTES <= in.size(); i++) {
-      if (isLineEnd(in, i) && isLineEnd(in, i + LINE_END_BYTES)) {
-        return i;
-      }
-    }
-    return -1;
-  }
-
-  private static boolean isLineEnd(RingBuffer in, int index) {
-    return in.at(index) == '\r' && in.at(index + 1) == '\n';
-  }
-
-  /**
-   * Whether the bytes that have arrived can be the start of a message. Other bytes are a fault at
-   * once, because a head might never end in them, and an attempt would wait until its deadline.
-   */
-  private boolean startsLikeMessage(RingBuffer in) {
-    int count = Math.min(in.size(), RESPONSE_START.length());
-    for (int i = 0; i < count; i++) {
-      char c = (char) Byte.toUnsignedInt(in.at(i));
-      if (!(parsesRequests ? mayStartRequest(c, i) : mayStartResponse(c, i))) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  private static boolean mayStartRequest(char c, int index) {
-    return (c >= ' ' && c < AsciiText.DELETE) || c == '\r' || (c == '\n' && index > 0);
-  }
-
-  private static boolean mayStartResponse(char c, int index) {
-    char lineEnd = index % 2 == 0 ? '\r' : '\n';
-    return c == RESPONSE_START.charAt(index) || (c == lineEnd && index < 2);
-  }
-
   /** Prepares to read the body of a message, or notes the fault of its head. */
   private void startMessage(Optional<HttpMessage> parsed) {
     if (parsed.isEmpty()) {
--- a/sidecar/src/main/java/dillcross/net/transport/TransportChannel.java
+++ b/sidecar/src/main/java/dillcross/net/transport/TransportChannel.java
@@ -45,7 +45,8 @@
 
   /**
    * Schedules another call of the handler's {@code onReadable}, for input that was left
-   * unprocessed. The call does not happen within this one.
+   * unprocessed. The call does not happen within this one. Has no effect while a call is scheduled:
+   * a connection with much input would get more and more of the thread's time.
    */
   void scheduleRead() throws IOException;
 
