--- a/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
+++ b/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Covers what happens when peers make the sidecar hold more than its memory; see {@link
@@ -29,6 +31,11 @@
   private static final int MAX_SOCKETS = 1024;
   private static final int CROWD = 640; // fewer than the sidecar accepts
   private static final int WAVES = 2;
+  private static final int HALF_MEMORY_MB = 96;
+  private static final int HALF_SOCKETS = 512;
+  private static final int HALF_CROWD = 300; // fewer than the sidecar accepts then
+  private static final int CROWD_MS = 3000;
+  private static final int SHORT_FIELDS = 1000;
   private static final int HEAD_FIELDS = 150;
   private static final int CHUNKS = 65;
   private static final int CHUNK_BYTES = 1000;
@@ -72,6 +79,58 @@
         sidecar.remainingLog().stream().filter(line -> line.contains("OutOfMemoryError")).toList());
   }
 
+  /** Guards against: a crowd brings the process over its limit where that is half the usual. */
+  @ParameterizedTest
+  @ValueSource(strings = {"heads of many fields", "half bodies", "unread answers"})
+  void staysWithinHalfOfTheUsualMemory(String crowd) throws Exception {
+    LongAnswerEndpoint endpoint = open(new LongAnswerEndpoint());
+    startAndAwaitReady(
+        new TestConfig(inService("long", endpoint.address()))
+            .maxSockets(HALF_SOCKETS)
+            .replace("{\"sockets\"", "{\"memory_mb\":" + HALF_MEMORY_MB + ",\"sockets\""));
+    for (int wave = 0; wave < WAVES; wave++) {
+      List<Socket> clients = new ArrayList<>();
+      for (int i = 0; i < HALF_CROWD; i++) {
+        clients.add(connectWithSmallWindow());
+        sendWhatIsTaken(clients.get(i), requestOf(crowd));
+      }
+      Thread.sleep(CROWD_MS);
+      for (Socket client : clients) {
+        client.close();
+      }
+    }
+
+    int peakMb = sidecar.peakMemoryKilobytes() >> 10;
+    assertTrue(peakMb <= HALF_MEMORY_MB, "peak memory: " + peakMb + " MB");
+    await(() -> statusOfNewClient(request("/read/short")).equals("200"));
+  }
+
+  private String requestOf(String crowd) {
+    return switch (crowd) {
+      case "heads of many fields" ->
+          withBody(request("/buy/ok"), 60_000, "x".repeat(59_000))
+              .replace("X-Trace: t\r\n", shortFields());
+      case "half bodies" -> withBody(request("/buy/ok"), 30_000_000, "x".repeat(500_000));
+      default -> request("/read/long");
+    };
+  }
+
+  private static String shortFields() {
+    StringBuilder fields = new StringBuilder();
+    for (int i = 0; i < SHORT_FIELDS; i++) {
+      fields.append('a').append(i).append(":\r\n");
+    }
+    return fields.toString();
+  }
+
+  private static void sendWhatIsTaken(Socket client, String request) {
+    try {
+      send(client, request);
+    } catch (IOException refused) {
+      // the sidecar may refuse the request before all of it was sent
+    }
+  }
+
   /** Guards against: answers that an endpoint has begun are dropped once the memory is used up. */
   @Test
   void deliversManyLongAnswersOfSlowEndpoints() throws Exception {
