Keep the process within half of the usual memory, and two processes within one limit

What is held for peers is bounded by the configured limit; the heap around it was not: the young generation took a third of it (29 MB) and was touched whole, and the old one kept up to 40% free, whatever the limit. A head of 1,000 fields costs 20 times its bytes once it is parsed, and 300 of them at once kept the selector thread for 0.8 s. And each of two processes of an upgrade planned with the whole limit.

--- a/sidecar/src/main/java/dillcross/config/ConfigReader.java
+++ b/sidecar/src/main/java/dillcross/config/ConfigReader.java
@@ -171,9 +171,14 @@
     return (int) max;
   }
 
-  /** Bytes for buffers: half of the memory above the resident part; the rest is for garbage. */
+  /**
+   * Bytes for buffers: half of the memory above the resident part; the rest is for garbage. Where
+   * the listening socket is inherited, the limit holds for two processes while one replaces the
+   * other.
+   */
   private static long bufferBytes(ConfigValues values) {
-    double memoryMb = values.number(ConfigKeys.MAX_MEMORY_MB, DEFAULT_MEMORY_MB);
+    int processes = values.has(ConfigKeys.INHERITED_SOCKET) ? 2 : 1;
+    double memoryMb = values.number(ConfigKeys.MAX_MEMORY_MB, DEFAULT_MEMORY_MB) / processes;
     return (long) (Math.max(MIN_BUFFER_MB, memoryMb - RESIDENT_MEMORY_MB) / 2 * BYTES_PER_MB);
   }
 
--- a/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
+++ b/sidecar/src/main/java/dillcross/net/http/HttpMessageParser.java
@@ -20,6 +20,8 @@
 
   static final int MAX_HEAD_BYTES = 16 << 10;
   private static final int MAX_REQUEST_HEAD_BYTES = 8 << 10; // endpoints may reject larger ones
+  // A field takes many times its bytes once it is parsed.
+  private static final int MAX_REQUEST_FIELDS = 256;
   // Chunks that are read in one call, because other connections wait meanwhile.
   private static final int MAX_CHUNKS_AT_ONCE = 200;
   private static final int MAX_INTERIM_RESPONSES = 16; // a few are usual; more may never end
@@ -343,8 +345,12 @@
     } else if (end >= 0) {
       String[] lines = AsciiText.read(in, 0, end).split(HttpMessage.LINE_END, -1);
       headScanner.skipHead(in, end);
-      startMessage(headParser.parse(lines));
-      holdHead(end + lines.length * FIELD_OVERHEAD_BYTES);
+      if (parsesRequests && lines.length - 1 > MAX_REQUEST_FIELDS) {
+        fault = HttpStatus.HEADER_FIELDS_TOO_LARGE;
+      } else {
+        startMessage(headParser.parse(lines));
+        holdHead(end + lines.length * FIELD_OVERHEAD_BYTES);
+      }
     }
     return head != null;
   }
--- a/sidecar/src/test/java/dillcross/cli/SidecarProcess.java
+++ b/sidecar/src/test/java/dillcross/cli/SidecarProcess.java
@@ -147,7 +147,13 @@
 
   /** The largest resident memory of the process so far, in kB. */
   int peakMemoryKilobytes() throws IOException {
-    Matcher peak = PEAK_MEMORY.matcher(Files.readString(procFile("status")));
+    return peakMemoryKilobytes(process.toHandle());
+  }
+
+  /** The largest resident memory of a process so far, in kB. */
+  static int peakMemoryKilobytes(ProcessHandle process) throws IOException {
+    Path status = Path.of("/proc", String.valueOf(process.pid()), "status");
+    Matcher peak = PEAK_MEMORY.matcher(Files.readString(status));
     assertTrue(peak.find());
     return Integer.parseInt(peak.group(1));
   }
--- a/sidecar/src/test/java/dillcross/cli/UpgradeFixture.java
+++ b/sidecar/src/test/java/dillcross/cli/UpgradeFixture.java
@@ -37,35 +37,49 @@
   /** The port for clients, of both processes. */
   int clientPort;
 
+  private BufferedReader parentOutput;
   private ProcessHandle first;
 
   private Path startSecond() {
     return folder.resolve("go");
   }
 
-  /** Starts the first process, and waits until it is ready. */
+  /** Starts the first process with endpoint A, and waits until it is ready. */
   void startFirstProcess() throws IOException {
+    startFirstProcess(new TestConfig(entryOfA()).requestClass(NON_IDEMPOTENT_CLASS));
+  }
+
+  /** Starts the first process, and waits until it is ready. */
+  void startFirstProcess(TestConfig config) throws IOException {
     start(
-        new TestConfig(entryOfA())
-            .adminAddress("127.0.0.1:0")
-            .requestClass(SidecarFixture.NON_IDEMPOTENT_CLASS),
+        config.adminAddress("127.0.0.1:0"),
         List.of("perl", "-e", PARENT_PROCESS, startSecond().toString()),
         Map.of("NODE_FD", "0", "TMPDIR", folder.toString()));
     sidecar.awaitReady();
-    BufferedReader parentOutput =
+    parentOutput =
         new BufferedReader(
             new InputStreamReader(sidecar.process.getInputStream(), StandardCharsets.US_ASCII));
     String[] pidAndPort = parentOutput.readLine().split(" "); // pid N port N
-    first = ProcessHandle.of(Long.parseLong(pidAndPort[1])).orElseThrow();
+    first = processOf(pidAndPort);
     clientPort = Integer.parseInt(pidAndPort[3]);
   }
 
+  private static ProcessHandle processOf(String[] pidAndPort) {
+    return ProcessHandle.of(Long.parseLong(pidAndPort[1])).orElseThrow();
+  }
+
   /** Starts the second process beside the first, and waits until it is ready. */
-  void startSecondProcess() throws IOException {
+  ProcessHandle startSecondProcess() throws IOException {
     int firstAdminPort = sidecar.adminPort;
     Files.createFile(startSecond());
     sidecar.awaitReady();
     assertTrue(sidecar.adminPort != firstAdminPort, "each process has its own admin endpoint");
+    return processOf(parentOutput.readLine().split(" "));
+  }
+
+  /** The process that was started first. */
+  ProcessHandle firstProcess() {
+    return first;
   }
 
   /** Sends the first process SIGTERM. */
