Tests, known red: a new process is taken for the one that was there before

And a repeat is held to the cell and zone that an endpoint's entry has now, not to those of the process that was tried.

--- a/sidecar/src/test/java/dillcross/balancer/DuplicateGuardTest.java
+++ b/sidecar/src/test/java/dillcross/balancer/DuplicateGuardTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Covers which retries are not sent because a request could run twice; see {@link DuplicateGuard}.
@@ -59,6 +60,20 @@
     }
   }
 
+  /** Guards against: a process of the same id elsewhere is taken for the one that was tried. */
+  @ParameterizedTest
+  @ValueSource(strings = {"cell", "zone"})
+  void retriesWithinTheScopeOfTheProcessThatWasTried(String requestClass) {
+    BalancerFixture fixture = BalancerFixture.withEndpoints("a:UP:1:east");
+    long request = fixture.startRequest(requestClass);
+    fixture.updateEndpoints(true, "a:UP:2:west:5", "b:UP:1:east", "c:UP:2:west");
+    fixture.advance(5);
+
+    fixture.endAttempt(fixture.lastAttemptOf(request), AttemptOutcome.RESET);
+
+    assertEquals("b", fixture.lastAttemptOf(request).endpoint());
+  }
+
   /**
    * Endpoints remember an idempotency key for 1 s from the first attempt, so no retry may come
    * later.
--- a/sidecar/src/test/java/dillcross/cli/EndpointConnectionsIT.java
+++ b/sidecar/src/test/java/dillcross/cli/EndpointConnectionsIT.java
@@ -12,6 +12,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -19,6 +22,8 @@
  * dillcross.net.endpoint.EndpointConnectionPool}.
  */
 class EndpointConnectionsIT extends SidecarFixture {
+  private static final int REPEATABLE_REQUESTS = 30;
+
   @Test
   void reusesConnectionForManyRequests() throws Exception {
     startWithEndpointA();
@@ -98,6 +103,33 @@
     await(() -> countDescriptors() <= descriptorsBefore + 1); // one connection may still be open
   }
 
+  /** Guards against: a new process at the address of one that has gone is taken for that one. */
+  @Test
+  void doesNotRepeatAtNewProcessOfAnotherCell() throws Exception {
+    startAndAwaitReady(
+        new TestConfig(entryOfA(), inService("gone", endpointB.address()))
+            .latencyObjectiveMs(2000));
+    String newProcess = inService("new", endpointB.address()).replace("\"cell\":1", "\"cell\":2");
+    discovery.publishAndAwait(newProcess);
+
+    for (int i = 0; i < REPEATABLE_REQUESTS; i++) {
+      statusOfNewClient(request("/read/ok")); // earns retries
+      statusOfNewClient(request("/buy/500"));
+    }
+
+    Set<String> idsAtBoth = new HashSet<>(idsOf(endpointA));
+    idsAtBoth.retainAll(idsOf(endpointB));
+    assertEquals(Set.of(), idsAtBoth, "cells do not know each other's keys");
+    assertTrue(endpointA.requestCounts.containsKey("/buy/500"), "some were tried in cell 1");
+  }
+
+  private static List<String> idsOf(TestEndpoint endpoint) {
+    return List.copyOf(endpoint.requests).stream()
+        .filter(request -> request.contains("/buy/500"))
+        .map(request -> request.replaceAll("(?si).*request-id: *(\\S+).*", "$1"))
+        .toList();
+  }
+
   private long countDescriptors() throws IOException {
     try (var descriptors = Files.list(sidecar.procFile("fd"))) {
       return descriptors.count();
