Tell a process from the one that was at its address, or had its id, before

Attempts are sent to addresses, but what may be repeated where is judged by ids. The list tells of a new endpoint at an address before it tells that the former one has gone, or never (a watch was lost, or removed endpoints are used on): then both ids lead to the new process. And DuplicateGuard compared with the cell and zone that an endpoint's entry has now, though the process that was tried had others.

Change: an address belongs to the endpoint that was listed there last, or of two in one update to the one that started last; the other counts as draining, also where removed endpoints are used on (EndpointAddresses.findReplaced). An attempt keeps the cell and zone of its process.

The row that was wrong now wants the connections to a closed; two rows hold what it was there for. Related paths looked at: idle connections belong to one id and are closed with it; an attempt that waits for its connection asks isCurrent, which is false once its endpoint was replaced; members carry their boot time.

--- a/sidecar/src/main/java/dillcross/balancer/Attempt.java
+++ b/sidecar/src/main/java/dillcross/balancer/Attempt.java
@@ -1,6 +1,7 @@
 package dillcross.balancer;
 
 import dillcross.model.AttemptOutcome;
+import dillcross.model.Endpoint;
 
 /**
  * Keeps the state of one attempt of a request at one endpoint. {@link InFlightTracker} changes
@@ -11,6 +12,10 @@
 final class Attempt {
   final Request request;
   final EndpointState endpoint;
+
+  /** The entry of the endpoint when the attempt was sent: another process may get its id later. */
+  private final Endpoint target;
+
   private long sentUs;
   private AttemptOutcome outcome;
   private boolean countsAsLoad;
@@ -20,9 +25,20 @@
   Attempt(Request request, EndpointState endpoint, long sentUs) {
     this.request = request;
     this.endpoint = endpoint;
+    target = endpoint.entry();
     this.sentUs = sentUs;
   }
 
+  /** The zone of the process that the attempt was sent to. */
+  String zone() {
+    return target.zone();
+  }
+
+  /** The cell of the process that the attempt was sent to. */
+  int cell() {
+    return target.cell();
+  }
+
   /**
    * When the attempt was sent, in microseconds; if the request's body was complete only later, the
    * time at which the body was complete.
--- a/sidecar/src/main/java/dillcross/balancer/DuplicateGuard.java
+++ b/sidecar/src/main/java/dillcross/balancer/DuplicateGuard.java
@@ -43,8 +43,7 @@
   private boolean isRecognised(
       Request request, Attempt earlier, EndpointState endpoint, long nowUs) {
     RequestClass requestClass = request.requestClass;
-    if (!request.hasIdempotencyKey()
-        || !isInScope(requestClass.scope(), earlier.endpoint, endpoint)) {
+    if (!request.hasIdempotencyKey() || !isInScope(requestClass.scope(), earlier, endpoint)) {
       return false;
     }
     // The repeat may be delayed on a slow path and arrive after the window has ended.
@@ -54,7 +53,7 @@
   }
 
   private static boolean isInScope(
-      DeduplicationScope scope, EndpointState earlier, EndpointState endpoint) {
+      DeduplicationScope scope, Attempt earlier, EndpointState endpoint) {
     return switch (scope) {
       case ALL -> true;
       case ZONE -> earlier.zone().equals(endpoint.zone());
--- a/sidecar/src/main/java/dillcross/model/Endpoint.java
+++ b/sidecar/src/main/java/dillcross/model/Endpoint.java
@@ -14,6 +14,11 @@
  */
 public record Endpoint(
     String id, Health health, long startedUs, int cell, String zone, double weight) {
+  /** The same endpoint in another state. */
+  public Endpoint withHealth(Health newHealth) {
+    return new Endpoint(id, newHealth, startedUs, cell, zone, weight);
+  }
+
   /** The state of an endpoint as discovery reports it. */
   public enum Health {
     /** The endpoint accepts requests. */
--- a/sidecar/src/main/java/dillcross/sidecar/EndpointAddresses.java
+++ b/sidecar/src/main/java/dillcross/sidecar/EndpointAddresses.java
@@ -28,6 +28,46 @@
     return changed;
   }
 
+  /**
+   * Finds endpoints that have gone, because another one is listed at their address. Of two that one
+   * update lists, the one that started last is there, or else the later entry.
+   *
+   * @return the entries of the endpoints that have gone, as draining ones
+   */
+  List<EndpointEntry> findReplaced(List<EndpointEntry> updates) {
+    Map<String, EndpointEntry> known = new HashMap<>(entries);
+    Map<String, EndpointEntry> byAddress = new HashMap<>();
+    List<EndpointEntry> replaced = new ArrayList<>();
+    for (EndpointEntry entry : updates) {
+      known.remove(entry.endpoint().id()); // it may have moved
+      EndpointEntry other = isAtAddress(entry) ? byAddress.get(entry.address()) : null;
+      boolean isOlder = other != null && startedUs(entry) < startedUs(other);
+      if (isAtAddress(entry) && !isOlder) {
+        byAddress.put(entry.address(), entry);
+      }
+      if (other != null && !isSameId(other, entry)) {
+        replaced.add((isOlder ? entry : other).draining());
+      }
+    }
+    known.values().stream()
+        .filter(entry -> byAddress.containsKey(entry.address()))
+        .map(EndpointEntry::draining)
+        .forEach(replaced::add);
+    return replaced;
+  }
+
+  private static boolean isAtAddress(EndpointEntry entry) {
+    return entry.endpoint().health() == Endpoint.Health.UP && !entry.address().isEmpty();
+  }
+
+  private static boolean isSameId(EndpointEntry one, EndpointEntry other) {
+    return one.endpoint().id().equals(other.endpoint().id());
+  }
+
+  private static long startedUs(EndpointEntry entry) {
+    return entry.endpoint().startedUs();
+  }
+
   /** Removes the entries whose id matches, and returns those ids, sorted. */
   List<String> removeIf(Predicate<String> filter) {
     List<String> removed = entries.keySet().stream().filter(filter).sorted().toList();
--- a/sidecar/src/main/java/dillcross/sidecar/EndpointEntry.java
+++ b/sidecar/src/main/java/dillcross/sidecar/EndpointEntry.java
@@ -9,6 +9,11 @@
  * @param address a numeric address and a port; empty where the list gives none
  */
 public record EndpointEntry(Endpoint endpoint, String address) {
+  /** The same endpoint, draining: no new request may be sent to it. */
+  EndpointEntry draining() {
+    return new EndpointEntry(endpoint.withHealth(Endpoint.Health.DRAINING), address);
+  }
+
   /**
    * Whether {@code current} is the same process at the same address as this entry; false where
    * {@code current} is null.
--- a/sidecar/src/main/java/dillcross/sidecar/EndpointListTracker.java
+++ b/sidecar/src/main/java/dillcross/sidecar/EndpointListTracker.java
@@ -4,6 +4,7 @@
 import dillcross.model.Endpoint;
 import java.util.List;
 import java.util.Queue;
+import java.util.stream.Stream;
 
 /**
  * Tracks the endpoint list: its known version, the addresses of endpoints, and when the list is
@@ -55,8 +56,11 @@
   }
 
   private void apply(long nowUs, boolean complete, List<EndpointEntry> updates) {
+    // An endpoint whose address another one has is gone, even where removed ones are used on.
+    List<EndpointEntry> replaced = addresses.findReplaced(updates);
     addresses.apply(updates).forEach(this::closeConnections);
-    List<Endpoint> endpoints = updates.stream().map(EndpointEntry::endpoint).toList();
+    List<Endpoint> endpoints =
+        Stream.concat(updates.stream(), replaced.stream()).map(EndpointEntry::endpoint).toList();
     balancer.onEndpointList(nowUs, complete, endpoints);
     addresses.removeIf(id -> !balancer.isListed(id)).forEach(this::closeConnections);
   }
--- a/sidecar/src/test/java/dillcross/sidecar/RequestCoordinatorEndpointListTest.java
+++ b/sidecar/src/test/java/dillcross/sidecar/RequestCoordinatorEndpointListTest.java
@@ -11,6 +11,7 @@
 import dillcross.model.Endpoint.Health;
 import dillcross.model.TestSettings;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,8 +39,10 @@
     "a,DRAINING,h:1,0,false,a",
     "a,REMOVED,h:1,0,false,a",
     "a,UP,h:1,5,false,a",
-    "b,UP,h:1,0,false,''",
-    "b,UP,h:1,0,true,a"
+    "b,UP,h:2,0,false,''",
+    "b,UP,h:1,0,false,a",
+    "b,UP,h:1,0,true,a",
+    "b,DRAINING,h:1,0,false,''"
   })
   void closesConnectionsWhenAnEndpointLeavesMovesOrRestarts(
       String id, Health health, String address, long startedUs, boolean complete, String closed) {
@@ -50,6 +53,41 @@
     assertEquals(closed, String.join(" ", closedConnections(fixture.pull())));
   }
 
+  /** Guards against: an endpoint is used on at an address where another process listens now. */
+  @ParameterizedTest
+  @CsvSource({"b@h:1, b", "b@h:1 c@h:1, c", "b@h:1@7 c@h:1@5, b", "b@h:2 a@h:2, a"})
+  void sendsNothingToAnEndpointWhoseAddressAnotherOneHas(String changes, String expected) {
+    fixture.listOneEndpoint();
+    EndpointEntry[] entries =
+        Arrays.stream(changes.split(" "))
+            .map(text -> text.split("@"))
+            .map(
+                parts ->
+                    entry(
+                        parts[0],
+                        Health.UP,
+                        parts[1],
+                        parts.length > 2 ? Long.parseLong(parts[2]) : 0))
+            .toArray(EndpointEntry[]::new);
+    fixture.listChanges(2, entries);
+    for (int i = 0; i < 10; i++) {
+      NetworkCommand.SendAttempt attempt = fixture.sendFirstAttempt("read");
+      assertEquals(expected, attempt.endpoint());
+      fixture.advance(20_000);
+      fixture.succeed(attempt);
+      fixture.pull();
+    }
+  }
+
+  /** Guards against: an endpoint that has moved is taken to be replaced at its former address. */
+  @Test
+  void usesEndpointThatHasMovedWhileAnotherTakesItsAddress() {
+    fixture.listOneEndpoint();
+    fixture.listChanges(2, entry("a", Health.UP, "h:2"), entry("b", Health.UP, "h:1"));
+    fixture.listChanges(3, entry("b", Health.DRAINING, "h:1"));
+    assertEquals("h:2", fixture.sendFirstAttempt("read").address());
+  }
+
   @Test
   void watchesAgainAfterEachUpdate() {
     fixture.listAll(7, entry("a", Health.UP, "h:1"));
