Warm-up and AttemptExecutorTest: endpoints have addresses of their own

The warm-up listed eight endpoints at one address and would have run with one. Both have an address each now; no assertion is changed. The search for replaced endpoints copies no map.

--- a/sidecar/src/main/java/dillcross/net/WarmUp.java
+++ b/sidecar/src/main/java/dillcross/net/WarmUp.java
@@ -55,7 +55,7 @@
     List<EndpointEntry> entries = new ArrayList<>();
     for (int i = 0; i < ENDPOINTS; i++) {
       Endpoint endpoint = new Endpoint("e" + i, Health.UP, 0, i % 2, "", 1);
-      entries.add(new EndpointEntry(endpoint, "none"));
+      entries.add(new EndpointEntry(endpoint, "none:" + i));
     }
     coordinator.onEndpointList(1, 1, true, entries, false);
     for (int i = 0; i < REQUESTS; i++) {
--- a/sidecar/src/main/java/dillcross/sidecar/EndpointAddresses.java
+++ b/sidecar/src/main/java/dillcross/sidecar/EndpointAddresses.java
@@ -3,8 +3,10 @@
 import dillcross.model.Endpoint;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -35,11 +37,11 @@
    * @return the entries of the endpoints that have gone, as draining ones
    */
   List<EndpointEntry> findReplaced(List<EndpointEntry> updates) {
-    Map<String, EndpointEntry> known = new HashMap<>(entries);
+    Set<String> updatedIds = new HashSet<>(); // they may have moved
     Map<String, EndpointEntry> byAddress = new HashMap<>();
     List<EndpointEntry> replaced = new ArrayList<>();
     for (EndpointEntry entry : updates) {
-      known.remove(entry.endpoint().id()); // it may have moved
+      updatedIds.add(entry.endpoint().id());
       EndpointEntry other = isAtAddress(entry) ? byAddress.get(entry.address()) : null;
       boolean isOlder = other != null && startedUs(entry) < startedUs(other);
       if (isAtAddress(entry) && !isOlder) {
@@ -49,8 +51,9 @@
         replaced.add((isOlder ? entry : other).draining());
       }
     }
-    known.values().stream()
+    entries.values().stream()
         .filter(entry -> byAddress.containsKey(entry.address()))
+        .filter(entry -> !updatedIds.contains(entry.endpoint().id()))
         .map(EndpointEntry::draining)
         .forEach(replaced::add);
     return replaced;
--- a/sidecar/src/test/java/dillcross/net/endpoint/AttemptExecutorTest.java
+++ b/sidecar/src/test/java/dillcross/net/endpoint/AttemptExecutorTest.java
@@ -89,11 +89,16 @@
             .map(
                 id ->
                     new EndpointEntry(
-                        new Endpoint(id, Endpoint.Health.UP, 0, 1, "east", 1), "127.0.0.1:1"))
+                        new Endpoint(id, Endpoint.Health.UP, 0, 1, "east", 1), addressOf(id)))
             .toList(),
         false);
   }
 
+  /** The address of the endpoint "a", "b", and so on; that of "a" has port 1. */
+  private static String addressOf(String id) {
+    return "127.0.0.1:" + (id.charAt(0) - 'a' + 1);
+  }
+
   private boolean checkClient(Object client) {
     checkedClients.add(client);
     pendingEvent.run();
