--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -1,7 +1,6 @@
 package dillcross.net;
 
 import dillcross.net.admin.AdminEndpoint;
-import dillcross.net.admin.AdminPaths;
 import dillcross.net.admin.Lifecycle;
 import dillcross.net.buffer.MemoryBudget;
 import dillcross.net.client.Caller;
@@ -34,8 +33,6 @@
  */
 public final class SidecarServer implements Network.EventLoopTask {
   private static final Logger LOG = Logger.getLogger(SidecarServer.class.getName());
-  // How long readiness is delayed at most to wait for the first endpoint list.
-  private static final long FIRST_LIST_TIMEOUT_US = 3_000_000;
   private static final int MAX_LOGGED_FAILURES = 20;
   // File descriptors that are kept free for files, the selector, the listening and admin sockets,
   // and connections that are being closed.
@@ -43,7 +40,6 @@
   private static final int DESCRIPTOR_SHARES = 3;
   private static final int CLIENT_SHARES = 2;
   private static final int KEEP_ALIVE_MARGIN_DIVISOR = 10; // 1/10 of the endpoint's idle timeout
-  private static final int MICROS_PER_MILLI = 1000;
   private static final long MIN_DISCOVERY_CONNECT_US = 1_000_000;
   private static final long EXPIRY_INTERVAL_US = 200_000;
   private static final long STOPPING_INTERVAL_US = 5_000;
@@ -59,18 +55,13 @@
   private final DiscoveryClient discovery;
   private final AdminEndpoint admin;
   private final CommandDispatcher dispatcher;
-  private final WarmUpProbe warmUp;
+  private final ServerStartup startup;
   private final ShutdownSequence shutdown;
   private final ChangeQueue changes;
-  private final long startedUs;
   private Optional<MembershipService> membership = Optional.empty();
-  private String adminAddress; // null if there is no admin endpoint
-  private Network.ListeningSocket listeningSocket; // for clients; null until there is one
   // The longest request timeout of all settings applied so far, because an open request may have
   // got its timeout from any of them.
   private volatile long maxTimeoutUs;
-  private volatile boolean isSocketInherited; // another process may accept from it too
-  private boolean needsFirstList; // before the server is ready, the endpoint list has to arrive
   private long lastExpiryUs; // when client and admin connections were last checked for timeouts
   private int failedIterations;
   private long now; // in microseconds; read before the events of an iteration and again after them
@@ -94,7 +85,6 @@
     this.coordinator = coordinator;
     this.clock = clock;
     now = clock.getAsLong();
-    startedUs = now;
     budget = new MemoryBudget(limits.bufferBytes());
     // Clients get two of three shares of the descriptors, endpoints one: clients' connections may
     // be idle, whereas those to endpoints are reused for one request after another.
@@ -117,7 +107,15 @@
             events);
     admin = new AdminEndpoint(lifecycle, this::now, events);
     dispatcher = new CommandDispatcher(listener.responder(), attempts, discovery);
-    warmUp = new WarmUpProbe(attempts, warmUpRequests);
+    startup =
+        new ServerStartup(
+            network,
+            lifecycle,
+            coordinator,
+            listener,
+            clients,
+            new WarmUpProbe(attempts, warmUpRequests),
+            now);
     shutdown = new ShutdownSequence(lifecycle, coordinator, clients);
     changes = new ChangeQueue(network::wakeUp);
     configure(settings);
@@ -158,7 +156,7 @@
    * the process started with may be older.
    */
   public void requireFirstList() {
-    needsFirstList = true;
+    startup.requireFirstList();
     coordinator.onDiscoveryMoved(now);
   }
 
@@ -187,8 +185,9 @@
       network.wakeUp();
     }
     if (adminBindAddress.isPresent()) {
-      adminAddress = network.bind(adminBindAddress.get(), admin).address();
-      LOG.info(() -> "admin endpoint on " + adminAddress);
+      String address = network.bind(adminBindAddress.get(), admin).address();
+      startup.setAdminAddress(address);
+      LOG.info(() -> "admin endpoint on " + address);
     }
   }
 
@@ -199,8 +198,8 @@
    * it is stopping. Must not be called from the selector thread.
    */
   public void startListening(InetSocketAddress address) throws IOException, InterruptedException {
-    makeChange(() -> listen(address));
-    warmUp.await();
+    makeChange(() -> startup.listen(address));
+    startup.awaitWarmUp();
     runBetweenIterations(this::markReady);
   }
 
@@ -209,10 +208,10 @@
    * when the server is ready, or once it is stopping. Must not be called from the selector thread.
    */
   public void startInherited() throws IOException, InterruptedException {
-    makeChange(this::prepareInherited);
-    warmUp.await();
+    makeChange(startup::prepareInherited);
+    startup.awaitWarmUp();
     // After the warm-up, because accepted connections have to be served at once.
-    makeChange(this::acceptInherited);
+    makeChange(startup::acceptInherited);
     runBetweenIterations(this::markReady);
   }
 
@@ -246,44 +245,17 @@
    * #isWarm} is true. Runs on the selector thread.
    */
   public void listen(InetSocketAddress address) throws IOException {
-    accept(network.bind(address, listener));
-    warmUp.start(listeningSocket.address(), AdminPaths.HEALTH);
-    network.wakeUp();
-  }
-
-  private void prepareInherited() throws IOException {
-    isSocketInherited = true;
-    if (!network.hasInheritedSocket()) {
-      throw new IOException(
-          "NODE_FD names no listening socket that can be taken over (descriptor 0)");
-    }
-    // The warm-up requests go to the admin address: at the clients' address they would reach the
-    // former process, which still serves there.
-    warmUp.start(adminAddress, AdminPaths.READY);
-    network.wakeUp();
-  }
-
-  private void acceptInherited() throws IOException {
-    accept(network.bindInherited(listener));
-  }
-
-  private void accept(Network.ListeningSocket socket) {
-    listeningSocket = socket;
-    clients.setListeningSocket(socket);
+    startup.listen(address);
   }
 
   /** Whether the warm-up is done. May be called from any thread. */
   public boolean isWarm() {
-    return warmUp.isDone();
+    return startup.isWarm();
   }
 
   /** Begins serving, unless the shutdown has begun. Runs on the selector thread. */
   public void markReady() {
-    lifecycle.markReady(now);
-    if (lifecycle.isReady()) { // not if it is stopping
-      long elapsedMs = (now - startedUs) / MICROS_PER_MILLI;
-      LOG.info(() -> "ready on " + listeningSocket.address() + " after " + elapsedMs + " ms");
-    }
+    startup.markReady(now);
   }
 
   // While it runs
@@ -404,9 +376,7 @@
     if (membership.isPresent()) {
       membership.get().afterEvents(now);
     }
-    if (warmUp.isRunning()) {
-      warmUp.advance(now, now - startedUs, !isWaitingForFirstList());
-    }
+    startup.advance(now);
     carryOutCommands();
     boolean closesIdle = lifecycle.isStopping() && lifecycle.closesIdleConnections(now);
     if (now - lastExpiryUs >= EXPIRY_INTERVAL_US || closesIdle) {
@@ -415,16 +385,10 @@
       admin.expire(now);
     }
     if (lifecycle.isStopping()) {
-      shutdown.advance(now, maxTimeoutUs, isSocketInherited);
+      shutdown.advance(now, maxTimeoutUs, startup.isSocketInherited());
     }
   }
 
-  private boolean isWaitingForFirstList() {
-    return needsFirstList
-        && !coordinator.hasReceivedWatchEvent()
-        && now - startedUs <= FIRST_LIST_TIMEOUT_US;
-  }
-
   private void carryOutCommands() {
     boolean sentAny;
     do {
