A receive buffer that can't be bounded does not keep the sidecar from starting

SO_RCVBUF of the listening socket bounds what a client may have sent unseen. Where the system refuses it the start ended with exit 1; now it is logged, and the process serves.

--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
@@ -68,10 +68,13 @@
     return open(binder(counter).bindToInherited(), counter);
   }
 
-  private static ServerSocket open(TCPNIOServerConnection server, AcceptCounter counter)
-      throws IOException {
+  private static ServerSocket open(TCPNIOServerConnection server, AcceptCounter counter) {
     ServerSocketChannel channel = (ServerSocketChannel) server.getChannel();
-    channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+    try {
+      channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+    } catch (IOException e) {
+      LOG.warning("receive buffers of clients' connections keep their size: " + e);
+    }
     return new ServerSocket(server, counter);
   }
 
