PlantedTest: four faults are planted where the code is now

Three texts had moved (OpenRequest.startDeadline, the ids of open requests, the report of a body's last byte) and are planted there. The fourth, 'a client that has disconnected, unnoticed', broke no rule any more: since an attempt also asks the listener whether its client is connected, so one lie of the coordinator is not enough. It is planted in HttpConnectionCodec now, which does not see the end of the input: name, rule and scenario are as they were, and the oracle finds it.

--- a/emulator/src/test/java/dillcross/emulator/PlantedTest.java
+++ b/emulator/src/test/java/dillcross/emulator/PlantedTest.java
@@ -34,8 +34,8 @@
         fault(
             "an answer after the deadline",
             "sidecar/OpenRequest.java",
-            "deadlineUs = nowUs + timeoutUs;",
-            "deadlineUs = nowUs + 2 * timeoutUs;",
+            "deadlineUs = sentUs + timeoutUs;",
+            "deadlineUs = sentUs + 2 * timeoutUs;",
             "IN_TIME ONE_ANSWER"),
         fault(
             "a retry into another deduplication scope",
@@ -72,9 +72,9 @@
             "news.toml"),
         fault(
             "a client that has disconnected, unnoticed",
-            "sidecar/RequestCoordinator.java",
-            "if (request != null && !request.isFinished()) {\n      balancer.onClientDisconnected(nowUs, id);",
-            "if (request != null && request.isFinished()) {\n      balancer.onClientDisconnected(nowUs, id);",
+            "net/connection/HttpConnectionCodec.java",
+            "if (connection.input().hasEnded() || (connection.input().isFull() && !isBusy)) {",
+            "if (connection.input().isFull() && !isBusy) {",
             "NOTHING_AFTER",
             "gone.toml"),
         fault(
@@ -123,9 +123,9 @@
             "NO_EFFECT_TWICE"),
         fault(
             "a request that is never over",
-            "net/client/ClientListener.java",
-            "openIds.remove(pending.clientId()); pending.inbound().release();",
-            "pending.inbound().release();",
+            "net/client/ClientExchanges.java",
+            "openIds.remove(ended.clientId());",
+            "openIds.contains(ended.clientId());",
             "BACK_TO_REST"),
         fault(
             "a body that loses a byte",
@@ -143,8 +143,8 @@
         fault(
             "a request timeout that starts when the last byte is forwarded",
             "net/connection/HttpConnectionCodec.java",
-            "if (connection.isServerSide() && connection.parser().hasRestArrived(connection.in())) {",
-            "if (connection.isServerSide() && connection.parser().fault() < 0) {",
+            "if (parser.hasRestArrived(connection.in())) {",
+            "if (parser.fault() < 0) {",
             "IN_TIME"),
         fault(
             "a retry that outlasts its deduplication window",
