--- a/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
+++ b/sidecar/src/main/java/dillcross/net/connection/HttpConnectionCodec.java
@@ -14,9 +14,8 @@
   private static final byte[] CONTINUE =
       "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-  // What the kernels of both sides hold at most of what a client has sent and was not read here:
-  // the
-  // receive buffer of an accepted connection, and a send buffer by Linux's default limits.
+  // The most that a client can have sent and that was not read here: the receive buffer of an
+  // accepted connection, and the client's send buffer by Linux's default limits.
   private static final int MAX_SENT_UNREAD_BYTES = 5 << 20;
 
   private HttpConnectionCodec() {}
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyNetwork.java
@@ -22,8 +22,7 @@
 /** The network on real sockets, with one selector thread. */
 public final class GrizzlyNetwork implements Network {
   private static final int BACKLOG = 1024;
-  // Inherited by accepted connections, and fixed from then on: what a client has sent unseen is
-  // bounded.
+  // Of accepted connections. A fixed size bounds what a client can have sent that was not read.
   private static final int RECEIVE_BUFFER_BYTES = 192 << 10;
   private static final Logger LOG = Logger.getLogger(GrizzlyNetwork.class.getName());
 
