Test: a request counts as arrived once the endpoint has recorded its path

DisconnectCrossingIT.doesNotSendAfterDisconnectInQueue(closes, true) failed once, in a run of a few test classes on a machine whose host took processor time away: "requests sent: {... /read/4then=1}, expected false but was true".

Cause: the test waits by TestEndpoint.requests and then looks for the waiting request in TestEndpoint.requestCounts, which is filled after it. A thread that is held between the two makes the test take a request that the endpoint has for the one that waits in the queue.

The test waits for the same number of requests and checks the same as before.

--- a/sidecar/src/test/java/dillcross/cli/DisconnectCrossingIT.java
+++ b/sidecar/src/test/java/dillcross/cli/DisconnectCrossingIT.java
@@ -153,7 +153,7 @@
     for (int i = 0; i < clients.size(); i++) {
       send(clients.get(i), request(queuedPath(i), REQUEST_TIMEOUT_MS));
     }
-    await(() -> endpointA.requests.size() + answeredClients.size() == clients.size() - 1);
+    await(() -> endpointA.requestCounts.size() + answeredClients.size() == clients.size() - 1);
     int waiting = 0;
     while (answeredClients.contains(waiting)
         || endpointA.requestCounts.containsKey(queuedPath(waiting))) {
