Answer requests that are still arriving at a planned stop before the earliest kill

Cause: a request's time counts from its last byte. Only requests whose head came during the stop got a shorter time; those that were arriving were neither refused nor waited for, and the process ended first.

Change: the coordinator has one limit for all that is open (DeadlineLimit). Requests are answered by the longest deadline and 0.6 s after SIGTERM, and have to arrive 0.3 s earlier; the load balancer rejects the others, which no endpoint can have run without their last byte. Requests that are not handed over yet get 503 at the same time. A client that was answered while it was sending has 1 s to read the answer, as the end of the process would reset its connection.

--- a/sidecar/src/main/java/dillcross/net/ShutdownSequence.java
+++ b/sidecar/src/main/java/dillcross/net/ShutdownSequence.java
@@ -8,9 +8,11 @@
 
 /**
  * The graceful shutdown: accepts connections for another {@link #ACCEPT_US}, or not at all if
- * another process also accepts from the same socket, then stops accepting, and is done once all
- * requests are answered or have timed out. Belongs to the selector thread; {@link #isDone} and
- * {@link #await} may be called from any thread.
+ * another process also accepts from the same socket, then stops accepting, and is done once every
+ * request is answered and every answer is handed to the network. Requests get their answer in time
+ * for the earliest kill, see {@link Lifecycle#lastAnswerUs}; it is done at the latest a little
+ * later. Belongs to the selector thread; {@link #isDone} and {@link #await} may be called from any
+ * thread.
  */
 final class ShutdownSequence {
   /**
@@ -43,12 +45,14 @@
    * @param isSocketShared whether another process may accept from the listening socket too
    */
   void advance(long nowUs, long maxTimeoutUs, boolean isSocketShared) {
+    coordinator.limitDeadlines(
+        nowUs, lifecycle.lastAnswerUs(maxTimeoutUs), lifecycle.lastArrivalUs(maxTimeoutUs));
     long elapsedUs = lifecycle.stoppingForUs(nowUs);
     if (isAccepting && (isSocketShared || elapsedUs > ACCEPT_US)) {
       isAccepting = false;
       connections.stopAccepting(isSocketShared);
     }
-    if (elapsedUs > ACCEPT_US && isFinished(elapsedUs, maxTimeoutUs)) {
+    if (elapsedUs > ACCEPT_US + QUIET_US && isFinished(elapsedUs, maxTimeoutUs)) {
       done.countDown();
     }
   }
@@ -57,9 +61,7 @@
     if (elapsedUs > maxTimeoutUs + ACCEPT_US + QUIET_US) {
       return true;
     }
-    return elapsedUs > ACCEPT_US + QUIET_US
-        && coordinator.openRequests() == 0
-        && connections.areDrained();
+    return coordinator.openRequests() == 0 && connections.areDrained();
   }
 
   boolean isDone() {
--- a/sidecar/src/main/java/dillcross/net/admin/Lifecycle.java
+++ b/sidecar/src/main/java/dillcross/net/admin/Lifecycle.java
@@ -14,6 +14,8 @@
   private static final long SHUTDOWN_NOTICE_US = 450_000;
   // All requests are answered within the longest request timeout plus this time after SIGTERM.
   private static final long SHUTDOWN_SLACK_US = 600_000;
+  // How long before that a request must have arrived: the time that an endpoint gets for it.
+  private static final long ARRIVAL_MARGIN_US = 300_000;
 
   private enum Stage {
     STARTING,
@@ -103,8 +105,28 @@
     if (!isStopping()) {
       return timeoutUs;
     }
-    long untilEndUs = stopUs + maxTimeoutUs + SHUTDOWN_SLACK_US - nowUs;
-    return Math.max(1, Math.min(timeoutUs, untilEndUs));
+    return Math.max(1, Math.min(timeoutUs, lastAnswerUs(maxTimeoutUs) - nowUs));
+  }
+
+  /**
+   * Until when requests are answered during a shutdown: the process may be killed soon after. An
+   * answer that has begun by then may go on. Only valid once the shutdown has begun.
+   */
+  public long lastAnswerUs(long maxTimeoutUs) {
+    return stopUs + maxTimeoutUs + SHUTDOWN_SLACK_US;
+  }
+
+  /**
+   * Until when requests have to arrive completely during a shutdown; others are rejected, because
+   * they could not be answered in time. Only valid once the shutdown has begun.
+   */
+  public long lastArrivalUs(long maxTimeoutUs) {
+    return lastAnswerUs(maxTimeoutUs) - ARRIVAL_MARGIN_US;
+  }
+
+  /** Whether requests that have not arrived completely are to be rejected. */
+  public boolean rejectsIncomplete(long maxTimeoutUs, long nowUs) {
+    return isStopping() && nowUs >= lastArrivalUs(maxTimeoutUs);
   }
 
   /** The time since the shutdown began, in microseconds; only valid once it has begun. */
--- a/sidecar/src/main/java/dillcross/net/client/ClientConnections.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientConnections.java
@@ -26,6 +26,8 @@
    */
   static final long FIRST_BYTE_TIMEOUT_US = 200_000;
 
+  // How long a client that was answered while it was sending has to read the answer.
+  private static final long LINGER_US = 1_000_000;
   // How long the first request of a connection may be incomplete, counted from the connect. A
   // connection that exceeds this time is closed first at the limit of connections.
   private static final long PARTIAL_REQUEST_TIMEOUT_US = 1_000_000;
@@ -195,10 +197,21 @@
     listeningSocket = null; // so that accepting is not resumed
   }
 
-  /** Whether all connections parse no more requests, and all responses are written. */
+  /**
+   * Whether all connections parse no more requests, all responses are written, and clients that
+   * were answered while they were sending had time to read the answer: the end of the process would
+   * reset their connections.
+   */
   public boolean areDrained() {
-    return connections.stream()
-        .allMatch(connection -> connection.isClosing() && connection.out().size() == 0);
+    return connections.stream().allMatch(this::isDrained);
+  }
+
+  private boolean isDrained(Connection connection) {
+    if (!connection.isClosing() || connection.out().size() > 0) {
+      return false;
+    }
+    long answeredForUs = clock.getAsLong() - connection.activity().idleSinceUs();
+    return !connection.isDiscarding() || answeredForUs > LINGER_US;
   }
 
   /** A copy of the present connections, the longest idle first. */
--- a/sidecar/src/main/java/dillcross/net/client/ClientExpiry.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientExpiry.java
@@ -59,6 +59,7 @@
 
   /** See {@link ClientListener#expire}. */
   void expire(long nowUs) {
+    boolean rejectsIncomplete = lifecycle.rejectsIncomplete(maxTimeoutUs, nowUs);
     for (Connection connection : connections.snapshot()) {
       connection.noteProgress(nowUs);
       Optional<PendingRequest> pending = ClientExchanges.find(connection);
@@ -69,6 +70,8 @@
         expireClosing(connection, nowUs);
       } else if (pending.isPresent()) {
         expireBody(connection, pending.get(), nowUs);
+      } else if (rejectsIncomplete && connection.hasPartialMessage()) {
+        rejectUnread(connection, RequestEvent.REQUEST_INCOMPLETE, "shutting down");
       } else if (reads.isDeferred(connection)) {
         expireDeferred(connection);
       } else {
@@ -117,13 +120,17 @@
    */
   private void expireDeferred(Connection connection) {
     if (reads.deferredForUs(connection) > DEFERRAL_TIMEOUT_US) {
-      exchanges.record(RequestEvent.REQUEST_NOT_READ, connection);
-      reads.forget(connection);
-      responder.rejectAndClose(
-          connection, HttpResponse.rejection("too busy to read the request", retryAfter.us()));
+      rejectUnread(connection, RequestEvent.REQUEST_NOT_READ, "too busy to read the request");
     }
   }
 
+  /** Rejects a request of which nothing was forwarded, so that a retry is safe. */
+  private void rejectUnread(Connection connection, RequestEvent event, String text) {
+    exchanges.record(event, connection);
+    reads.forget(connection);
+    responder.rejectAndClose(connection, HttpResponse.rejection(text, retryAfter.us()));
+  }
+
   private void expireIdle(Connection connection, long nowUs) {
     // A request that waits because the client reads too slowly does not arrive too late.
     boolean hasPartial = connection.hasPartialMessage() && !connection.isOutputBehind();
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -29,6 +29,7 @@
   private Object exchange; // a request in progress, or an attempt; null while there is none
   private boolean closesAfterResponse;
   private boolean isClosing; // closed once all output is written
+  private boolean isDiscarding; // the last message was answered before it was complete
   private boolean isConnected;
 
   /**
@@ -200,11 +201,19 @@
   /** As {@link #discardRest(long)}, with the limit of its last call; 1 MiB if there was none. */
   public void discardRest() {
     isClosing = true;
+    isDiscarding = true;
     in().clear();
     parser.release();
     input.resume();
   }
 
+  /**
+   * Whether the last message was answered before it was complete, so that more may arrive of it.
+   */
+  public boolean isDiscarding() {
+    return isDiscarding;
+  }
+
   // Output
 
   /**
--- a/sidecar/src/main/java/dillcross/sidecar/OpenRequest.java
+++ b/sidecar/src/main/java/dillcross/sidecar/OpenRequest.java
@@ -13,6 +13,7 @@
   private final Object client;
   private final Object content;
   private final long timeoutUs;
+  private final DeadlineLimit limit;
   private final List<OpenAttempt> attempts = new ArrayList<>(2);
   private int attemptsInFlight;
   private boolean isReplayable = true;
@@ -21,10 +22,11 @@
   private long deadlineUs = BODY_INCOMPLETE;
   private long mayHaveEndedSinceUs; // 0 unless the last byte of the body may have been sent unseen
 
-  OpenRequest(Object client, Object content, long timeoutUs) {
+  OpenRequest(Object client, Object content, long timeoutUs, DeadlineLimit limit) {
     this.client = client;
     this.content = content;
     this.timeoutUs = timeoutUs;
+    this.limit = limit;
   }
 
   /** The client that waits for the answer: an object of the network. */
@@ -43,13 +45,16 @@
   }
 
   /**
-   * When the client may stop waiting; {@code Long.MAX_VALUE} while it can't have sent the last byte
-   * of the body.
+   * When the client may stop waiting, or the request has to be answered because of a {@link
+   * DeadlineLimit}; {@code Long.MAX_VALUE} while the client can't have sent the last byte of the
+   * body and there is no limit.
    */
   long deadlineUs() {
-    return isBodyIncomplete() && mayHaveEndedSinceUs > 0
-        ? mayHaveEndedSinceUs + timeoutUs
-        : deadlineUs;
+    if (!isBodyIncomplete()) {
+      return Math.min(deadlineUs, limit.answerUs());
+    }
+    long bodyUs = mayHaveEndedSinceUs > 0 ? mayHaveEndedSinceUs + timeoutUs : Long.MAX_VALUE;
+    return Math.min(bodyUs, limit.arrivalUs());
   }
 
   /** Records since when the client may have sent the last byte of the body; 0 if it can't have. */
--- a/sidecar/src/main/java/dillcross/sidecar/OpenRequests.java
+++ b/sidecar/src/main/java/dillcross/sidecar/OpenRequests.java
@@ -1,6 +1,7 @@
 package dillcross.sidecar;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 
@@ -85,6 +86,14 @@
     commands.add(new NetworkCommand.AbandonAttempt(id, number));
   }
 
+  /** The ids of the requests that are not finished. */
+  List<Long> unfinishedIds() {
+    return requests.entrySet().stream()
+        .filter(entry -> !entry.getValue().isFinished())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** The number of requests whose clients still wait for the end of their answer. */
   long unfinishedCount() {
     return requests.values().stream().filter(request -> !request.isFinished()).count();
--- a/sidecar/src/main/java/dillcross/sidecar/RequestCoordinator.java
+++ b/sidecar/src/main/java/dillcross/sidecar/RequestCoordinator.java
@@ -22,6 +22,7 @@
   private final ArrayDeque<NetworkCommand> commands = new ArrayDeque<>();
   private final OpenRequests requests = new OpenRequests(commands);
   private final TimerQueue timers = new TimerQueue();
+  private final DeadlineLimit limit = new DeadlineLimit();
   private final EndpointListTracker endpoints;
   private final TimerHandler timerHandler;
   private final DecisionExecutor executor;
@@ -103,7 +104,7 @@
    */
   public long onRequest(long nowUs, IncomingRequest incoming) {
     OpenRequest request =
-        new OpenRequest(incoming.client(), incoming.content(), incoming.timeoutUs());
+        new OpenRequest(incoming.client(), incoming.content(), incoming.timeoutUs(), limit);
     long id = requests.add(request);
     balancer.onRequest(
         nowUs,
@@ -114,12 +115,37 @@
         incoming.isRepeat());
     if (incoming.isBodyIncomplete()) {
       balancer.onRequestBody(nowUs, id, false, true);
+      if (limit.arrivalUs() < Long.MAX_VALUE) {
+        applyLimit(nowUs, id, request);
+      }
     } else {
       startDeadline(nowUs, id, request);
     }
     return id;
   }
 
+  /**
+   * Limits the time until which requests are answered, those that are open and those to come. A
+   * request whose body has not arrived by its limit is given up like one whose client's timeout has
+   * passed. A response that is streamed goes on.
+   *
+   * @param answerUs until when requests are answered
+   * @param arrivalUs until when the body of a request has to arrive; at most {@code answerUs}
+   */
+  public void limitDeadlines(long nowUs, long answerUs, long arrivalUs) {
+    if (!limit.set(answerUs, arrivalUs)) {
+      return;
+    }
+    for (long id : requests.unfinishedIds()) {
+      applyLimit(nowUs, id, requests.find(id));
+    }
+  }
+
+  private void applyLimit(long nowUs, long id, OpenRequest request) {
+    balancer.onBodyDeadline(nowUs, id, request.deadlineUs());
+    timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
+  }
+
   private void startDeadline(long sentUs, long id, OpenRequest request) {
     request.startDeadline(sentUs);
     timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
--- a/sidecar/src/test/java/dillcross/net/FakeNetwork.java
+++ b/sidecar/src/test/java/dillcross/net/FakeNetwork.java
@@ -29,6 +29,7 @@
     public Network.ConnectCallback callback; // a test may set it to null once it was called
     private Network.ConnectionHandler handler;
     private boolean isOpen = true;
+    private boolean isEnded; // the peer has ended its output
     private int sendBufferBytes = Integer.MAX_VALUE;
     private int unreadBytes; // that the kernel holds for the peer
     private ByteBuffer unfinished; // the bytes of the unfinished write; null if there is none
@@ -54,6 +55,12 @@
       }
     }
 
+    /** Makes the peer end its output. */
+    public void endOutput() {
+      isEnded = true;
+      handler.onReadable();
+    }
+
     /** Makes the connection fail. */
     public void fail() {
       close();
@@ -117,7 +124,7 @@
       int count = Math.min(into.remaining(), received.length());
       into.put(received.substring(0, count).getBytes(StandardCharsets.ISO_8859_1));
       received.delete(0, count);
-      return count;
+      return count == 0 && isEnded && into.hasRemaining() ? -1 : count;
     }
 
     @Override
--- /dev/null
+++ b/sidecar/src/test/java/dillcross/net/ShutdownTest.java
@@ -0,0 +1,163 @@
+package dillcross.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Covers what a graceful shutdown waits for, and what is answered before the process may be killed;
+ * see {@link dillcross.net.admin.Lifecycle}. The test controls the clock.
+ */
+class ShutdownTest {
+  private static final int EARLIEST_KILL_MS = VirtualSidecar.MAX_TIMEOUT_MS + 700;
+  private static final int SOON_MS = 800; // accepting connections ends after 0.5 s
+  private static final int LINGER_MS = 1500; // for clients to read answers
+  private static final int FIRST_BYTES = 70_000; // more than is buffered before it is forwarded
+  private static final int REST_BYTES = 5_000;
+  private static final int PIECE_BYTES = 1000;
+  private static final int SMALL_PIECE_BYTES = 50; // the last of REST_BYTES come after the kill
+  private static final int PIECE_INTERVAL_MS = 50;
+  private static final String OK = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok";
+
+  private final VirtualSidecar sidecar;
+
+  ShutdownTest() throws Exception {
+    sidecar = new VirtualSidecar();
+  }
+
+  /** How the length of a body is told. */
+  private enum Framing {
+    LENGTH,
+    CHUNKS;
+
+    String piece(int bytes) {
+      String piece = "x".repeat(bytes);
+      return this == CHUNKS ? Integer.toHexString(bytes) + "\r\n" + piece + "\r\n" : piece;
+    }
+  }
+
+  /** Guards against: a client whose request is long and still arriving at the end has no answer. */
+  @ParameterizedTest
+  @EnumSource(names = {"LENGTH", "CHUNKS"})
+  void rejectsRequestThatArrivesTooLateToBeAnswered(Framing framing) {
+    FakeNetwork.FakeChannel client = beginUpload(framing);
+    FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
+    sidecar.requestStop();
+
+    sendSlowly(client, framing, EARLIEST_KILL_MS - 100);
+
+    assertAnswered("503", client);
+    assertFalse(endpoint.isOpen(), "the endpoint can't run a request that it has in part");
+    client.receive(framing.piece(PIECE_BYTES));
+    sidecar.advance(PIECE_INTERVAL_MS);
+    assertFalse(sidecar.isStopped(), "the end would reset the connection of a client that sends");
+    sidecar.advance(LINGER_MS);
+    assertTrue(sidecar.isStopped());
+  }
+
+  /** Guards against: a request of usual size that arrives slowly is cut off by the end. */
+  @ParameterizedTest
+  @EnumSource(names = {"LENGTH", "CHUNKS"})
+  void rejectsUsualRequestThatArrivesTooLateToBeAnswered(Framing framing) {
+    FakeNetwork.FakeChannel client = sidecar.connect();
+    client.receive(framing == Framing.CHUNKS ? sidecar.postChunked() : sidecar.post(REST_BYTES));
+    sidecar.requestStop();
+
+    sendSlowly(client, framing, EARLIEST_KILL_MS - 100);
+
+    assertAnswered("503", client);
+    sidecar.advance(LINGER_MS);
+    assertTrue(sidecar.isStopped());
+  }
+
+  private void sendSlowly(FakeNetwork.FakeChannel client, Framing framing, int durationMs) {
+    for (int elapsedMs = 0; elapsedMs < durationMs; elapsedMs += PIECE_INTERVAL_MS) {
+      client.receive(framing.piece(SMALL_PIECE_BYTES));
+      sidecar.advance(PIECE_INTERVAL_MS);
+    }
+  }
+
+  /** Guards against: a half head keeps the process from its end, or is closed with no answer. */
+  @Test
+  void answersHalfHeadBeforeTheEnd() {
+    FakeNetwork.FakeChannel client = sidecar.connect();
+    client.receive("GET /read/x HT");
+    sidecar.requestStop();
+
+    sidecar.advance(EARLIEST_KILL_MS - 100);
+
+    assertAnswered("408", client);
+    sidecar.advance(LINGER_MS);
+    assertTrue(sidecar.isStopped());
+  }
+
+  /** A long request that was begun before the shutdown, and arrives in time, is served. */
+  @Test
+  void answersLongRequestThatArrivesInTime() {
+    FakeNetwork.FakeChannel client = beginUpload(Framing.LENGTH);
+    FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
+    sidecar.requestStop();
+    sidecar.advance(VirtualSidecar.MAX_TIMEOUT_MS - 1000);
+    client.receive("x".repeat(REST_BYTES));
+    sidecar.advance(PIECE_INTERVAL_MS);
+
+    assertEquals("", client.takeWritten());
+    endpoint.receive(OK);
+    sidecar.advance(PIECE_INTERVAL_MS);
+
+    assertAnswered("200", client);
+    sidecar.advance(PIECE_INTERVAL_MS);
+    assertTrue(sidecar.isStopped());
+  }
+
+  /** Guards against: the time of a long request counts from its last byte beyond the kill. */
+  @Test
+  void answersLongRequestBeforeTheKillWhileItsEndpointHangs() {
+    FakeNetwork.FakeChannel client = beginUpload(Framing.LENGTH);
+    sidecar.connectToEndpoint();
+    sidecar.requestStop();
+    sidecar.advance(VirtualSidecar.MAX_TIMEOUT_MS - 1000);
+    client.receive("x".repeat(REST_BYTES));
+
+    sidecar.advance(EARLIEST_KILL_MS - VirtualSidecar.MAX_TIMEOUT_MS + 1000 - 50);
+
+    assertAnswered("502", client);
+    sidecar.advance(PIECE_INTERVAL_MS);
+    assertTrue(sidecar.isStopped());
+  }
+
+  /** Guards against: the process waits for clients that have sent nothing, or have their answer. */
+  @Test
+  void endsSoonWhenNothingIsOwed() {
+    FakeNetwork.FakeChannel silent = sidecar.connect();
+    FakeNetwork.FakeChannel idle = sidecar.connect();
+    idle.receive(sidecar.get());
+    sidecar.connectToEndpoint().receive(OK);
+    sidecar.advance(PIECE_INTERVAL_MS);
+    assertAnswered("200", idle);
+    sidecar.requestStop();
+
+    sidecar.advance(SOON_MS);
+
+    assertTrue(sidecar.isStopped());
+    assertFalse(silent.isOpen());
+    assertFalse(idle.isOpen());
+  }
+
+  private FakeNetwork.FakeChannel beginUpload(Framing framing) {
+    FakeNetwork.FakeChannel client = sidecar.connect();
+    boolean isChunked = framing == Framing.CHUNKS;
+    client.receive(isChunked ? sidecar.postChunked() : sidecar.post(FIRST_BYTES + REST_BYTES));
+    client.receive(framing.piece(FIRST_BYTES));
+    return client;
+  }
+
+  private static void assertAnswered(String status, FakeNetwork.FakeChannel client) {
+    String answer = client.takeWritten();
+    assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+  }
+}
--- a/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
+++ b/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
@@ -96,6 +96,17 @@
     return server.usage().failedIterations();
   }
 
+  /** Begins the shutdown, as SIGTERM does. */
+  void requestStop() {
+    server.requestStop();
+    network.iterate();
+  }
+
+  /** Whether the shutdown is done, so that the process ends. */
+  boolean isStopped() {
+    return server.isDone();
+  }
+
   /** Opens a client's connection. */
   FakeNetwork.FakeChannel connect() {
     return network.accept(CLIENT_ADDRESS);
--- a/sidecar/src/test/java/dillcross/net/admin/LifecycleTest.java
+++ b/sidecar/src/test/java/dillcross/net/admin/LifecycleTest.java
@@ -1,6 +1,8 @@
 package dillcross.net.admin;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -82,4 +84,20 @@
     assertEquals(200_000, lifecycle.limitTimeout(200_000, 3_000_000, 2_001_000));
     assertEquals(1, lifecycle.limitTimeout(3_000_000, 3_000_000, 9_000_000));
   }
+
+  /**
+   * Requests have to arrive early enough to be answered before the process may be killed. Before
+   * the shutdown none is rejected.
+   */
+  @Test
+  void limitsArrivalDuringShutdown() {
+    Lifecycle lifecycle = new Lifecycle();
+    lifecycle.markReady(0);
+    assertFalse(lifecycle.rejectsIncomplete(3_000_000, 9_000_000));
+    lifecycle.stop(1000);
+    assertEquals(3_601_000, lifecycle.lastAnswerUs(3_000_000));
+    assertEquals(3_301_000, lifecycle.lastArrivalUs(3_000_000));
+    assertFalse(lifecycle.rejectsIncomplete(3_000_000, 3_300_999));
+    assertTrue(lifecycle.rejectsIncomplete(3_000_000, 3_301_000));
+  }
 }
