Do not end a planned stop while answers that have begun are still given

Cause: ShutdownSequence.isFinished held at the longest timeout and 0.65 s whatever was open, and SidecarServer.stop waited no longer. An answer that has begun has no deadline, so nothing else bounded it.

Change: the stop is done when no request is open and all answers are handed to the network. SidecarServer.stop waits for as long as the event loop makes iterations.

--- a/sidecar/src/main/java/dillcross/net/ShutdownSequence.java
+++ b/sidecar/src/main/java/dillcross/net/ShutdownSequence.java
@@ -10,9 +10,9 @@
  * The graceful shutdown: accepts connections for another {@link #ACCEPT_US}, or not at all if
  * another process also accepts from the same socket, then stops accepting, and is done once every
  * request is answered and every answer is handed to the network. Requests get their answer in time
- * for the earliest kill, see {@link Lifecycle#lastAnswerUs}; it is done at the latest a little
- * later. Belongs to the selector thread; {@link #isDone} and {@link #await} may be called from any
- * thread.
+ * for the earliest kill, see {@link Lifecycle#lastAnswerUs}; an answer that has begun goes on for
+ * as long as its endpoint gives it and its client takes it. Belongs to the selector thread; {@link
+ * #isDone} and {@link #await} may be called from any thread.
  */
 final class ShutdownSequence {
   /**
@@ -52,15 +52,12 @@
       isAccepting = false;
       connections.stopAccepting(isSocketShared);
     }
-    if (elapsedUs > ACCEPT_US + QUIET_US && isFinished(elapsedUs, maxTimeoutUs)) {
+    if (elapsedUs > ACCEPT_US + QUIET_US && isFinished()) {
       done.countDown();
     }
   }
 
-  private boolean isFinished(long elapsedUs, long maxTimeoutUs) {
-    if (elapsedUs > maxTimeoutUs + ACCEPT_US + QUIET_US) {
-      return true;
-    }
+  private boolean isFinished() {
     return coordinator.openRequests() == 0 && connections.areDrained();
   }
 
--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
@@ -43,6 +44,8 @@
   private static final long MIN_DISCOVERY_CONNECT_US = 1_000_000;
   private static final long EXPIRY_INTERVAL_US = 200_000;
   private static final long STOPPING_INTERVAL_US = 5_000;
+  private static final long LOOP_CHECK_INTERVAL_US = 500_000;
+  private static final int MAX_SILENT_CHECKS = 10; // without an iteration between them
 
   private final RequestCoordinator coordinator;
   private final LongSupplier clock;
@@ -63,6 +66,7 @@
   // got its timeout from any of them.
   private volatile long maxTimeoutUs;
   private long lastExpiryUs; // when client and admin connections were last checked for timeouts
+  private final AtomicLong iterations = new AtomicLong();
   private int failedIterations;
   private long now; // in microseconds; read before the events of an iteration and again after them
 
@@ -287,18 +291,17 @@
   }
 
   /**
-   * Shuts down gracefully, and returns when that is done. Must not be called from the selector
-   * thread.
+   * Shuts down gracefully, and returns when that is done, or if the event loop does not run. Must
+   * not be called from the selector thread.
    */
   public void stop() throws InterruptedException {
     requestStop();
-    // The wait for the shutdown is limited, because the event loop may not run yet. The limit is
-    // computed in each pass, because new settings may raise maxTimeoutUs.
-    boolean isDone = false;
-    long waitedUs = 0;
-    while (!isDone && waitedUs < maxTimeoutUs + 2 * ShutdownSequence.ACCEPT_US) {
-      isDone = shutdown.await(ShutdownSequence.ACCEPT_US);
-      waitedUs += ShutdownSequence.ACCEPT_US;
+    int silentChecks = 0;
+    long iterationsBefore = iterations.get();
+    while (silentChecks < MAX_SILENT_CHECKS && !shutdown.await(LOOP_CHECK_INTERVAL_US)) {
+      boolean isRunning = iterations.get() != iterationsBefore;
+      iterationsBefore = iterations.get();
+      silentChecks = isRunning ? 0 : silentChecks + 1;
     }
   }
 
@@ -361,6 +364,7 @@
 
   @Override
   public void afterEvents() {
+    iterations.incrementAndGet();
     try {
       iterate();
     } catch (RuntimeException failure) {
--- a/sidecar/src/test/java/dillcross/cli/LongMessagesShutdownIT.java
+++ b/sidecar/src/test/java/dillcross/cli/LongMessagesShutdownIT.java
@@ -1,14 +1,19 @@
 package dillcross.cli;
 
+import static dillcross.cli.HttpMessages.readHead;
 import static dillcross.cli.HttpMessages.readResponse;
 import static dillcross.cli.HttpMessages.send;
 import static dillcross.cli.HttpMessages.statusOf;
+import static dillcross.cli.TestDiscovery.inService;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -17,10 +22,31 @@
  */
 class LongMessagesShutdownIT extends UpgradeFixture {
   private static final int MAX_TIMEOUT_MS = 500; // the process may be killed after 1.2 s
+  private static final int ANSWER_BYTES = 400_000; // takes 6 s
+  private static final int PIECE_BYTES = 6_400;
   private static final int REQUEST_BYTES = 100_000;
   private static final int FIRST_BYTES = 70_000; // more than is buffered before it is forwarded
   private static final int SEND_INTERVAL_MS = 50;
 
+  /** Guards against: the process ends by itself, and cuts off an answer that has begun. */
+  @ParameterizedTest
+  @CsvSource({"true,false", "false,false", "true,true"})
+  void forwardsAnswerThatHasBegunToItsEnd(boolean isChunked, boolean isInherited) throws Exception {
+    PacedAnswerEndpoint endpoint =
+        open(new PacedAnswerEndpoint(isChunked, ANSWER_BYTES, PIECE_BYTES));
+    startProcess(inService("paced", endpoint.address()), isInherited);
+    Socket client = connect(clientPort);
+    send(client, request("/read/long", MAX_TIMEOUT_MS));
+    assertEquals("200", statusOf(readHead(client.getInputStream())));
+
+    ProcessHandle stopping = stopProcess(isInherited);
+
+    String rest = new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    assertEquals(ANSWER_BYTES, rest.chars().filter(character -> character == 'x').count());
+    assertTrue(rest.endsWith("\r\n0\r\n\r\n"), "the end of the answer");
+    stopping.onExit().get();
+  }
+
   /** Guards against: the process ends while a request is arriving, and closes with no answer. */
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
--- a/sidecar/src/test/java/dillcross/net/ShutdownTest.java
+++ b/sidecar/src/test/java/dillcross/net/ShutdownTest.java
@@ -21,6 +21,7 @@
   private static final int PIECE_BYTES = 1000;
   private static final int SMALL_PIECE_BYTES = 50; // the last of REST_BYTES come after the kill
   private static final int PIECE_INTERVAL_MS = 50;
+  private static final int ANSWER_PIECES = 2 * EARLIEST_KILL_MS / PIECE_INTERVAL_MS;
   private static final String OK = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok";
 
   private final VirtualSidecar sidecar;
@@ -32,7 +33,16 @@
   /** How the length of a body is told. */
   private enum Framing {
     LENGTH,
-    CHUNKS;
+    CHUNKS,
+    UNTIL_CLOSE;
+
+    String field(int bodyBytes) {
+      return switch (this) {
+        case LENGTH -> "Content-Length: " + bodyBytes;
+        case CHUNKS -> "Transfer-Encoding: chunked";
+        case UNTIL_CLOSE -> "Connection: close";
+      };
+    }
 
     String piece(int bytes) {
       String piece = "x".repeat(bytes);
@@ -130,6 +140,47 @@
     assertTrue(sidecar.isStopped());
   }
 
+  /**
+   * Guards against: the process ends by itself and cuts off an answer that endpoints still give.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void forwardsAnswersThatHaveBegunToTheirEnd(Framing framing) {
+    FakeNetwork.FakeChannel client = sidecar.connect();
+    client.receive(sidecar.get());
+    FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
+    endpoint.receive(
+        "HTTP/1.1 200 x\r\n" + framing.field(ANSWER_PIECES * PIECE_BYTES) + "\r\n\r\n");
+    sidecar.requestStop();
+
+    int forwarded = 0;
+    for (int i = 0; i < ANSWER_PIECES; i++) {
+      assertFalse(sidecar.isStopped(), "after " + i + " pieces");
+      endpoint.receive(framing.piece(PIECE_BYTES));
+      sidecar.advance(PIECE_INTERVAL_MS);
+      forwarded += countBodyBytes(client);
+    }
+    end(endpoint, framing);
+    sidecar.advance(PIECE_INTERVAL_MS);
+
+    assertEquals(ANSWER_PIECES * PIECE_BYTES, forwarded + countBodyBytes(client));
+    assertTrue(sidecar.isStopped());
+  }
+
+  private static void end(FakeNetwork.FakeChannel endpoint, Framing framing) {
+    if (framing == Framing.CHUNKS) {
+      endpoint.receive("0\r\n\r\n");
+    } else if (framing == Framing.UNTIL_CLOSE) {
+      endpoint.endOutput();
+    }
+  }
+
+  private static int countBodyBytes(FakeNetwork.FakeChannel client) {
+    String written = client.takeWritten();
+    String body = written.substring(Math.max(0, written.indexOf("\r\n\r\n")));
+    return (int) body.chars().filter(character -> character == 'x').count();
+  }
+
   /** Guards against: the process waits for clients that have sent nothing, or have their answer. */
   @Test
   void endsSoonWhenNothingIsOwed() {
@@ -148,6 +199,22 @@
     assertFalse(idle.isOpen());
   }
 
+  /** Guards against: an endpoint that stops within its answer keeps the process for good. */
+  @Test
+  void endsOnceAnAnswerHasStalled() {
+    FakeNetwork.FakeChannel client = sidecar.connect();
+    client.receive(sidecar.get());
+    FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
+    endpoint.receive("HTTP/1.1 200 x\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(PIECE_BYTES));
+    sidecar.requestStop();
+
+    sidecar.advance(EARLIEST_KILL_MS);
+    assertFalse(sidecar.isStopped());
+    sidecar.advance(2 * VirtualSidecar.KEEP_ALIVE_MS);
+
+    assertTrue(sidecar.isStopped());
+  }
+
   private FakeNetwork.FakeChannel beginUpload(Framing framing) {
     FakeNetwork.FakeChannel client = sidecar.connect();
     boolean isChunked = framing == Framing.CHUNKS;
