--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
@@ -192,8 +192,8 @@
 
   /** Allows reads again after {@link #defer}. */
   public void endDeferral() {
-    isPaused = false;
     setReadInterest(true);
+    isPaused = false;
   }
 
   private void setReadInterest(boolean interested) {
