RequestCoordinator: one place tells the balancer a deadline and sets its timer

Cause: the limit of deadlines at a shutdown had written anew what two other methods did, with a special case for when there is no limit; the filter for unfinished requests stood twice in OpenRequests. Change: updateDeadline serves all of them; OpenRequests.unfinished.

--- a/sidecar/src/main/java/dillcross/sidecar/OpenRequests.java
+++ b/sidecar/src/main/java/dillcross/sidecar/OpenRequests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.stream.Stream;
 
 /**
  * The requests in memory, by the ids that this sidecar gives them. Abandons their attempts by
@@ -86,17 +87,18 @@
     commands.add(new NetworkCommand.AbandonAttempt(id, number));
   }
 
-  /** The ids of the requests that are not finished. */
+  /** The ids of the requests whose clients still wait for the end of their answer. */
   List<Long> unfinishedIds() {
-    return requests.entrySet().stream()
-        .filter(entry -> !entry.getValue().isFinished())
-        .map(Map.Entry::getKey)
-        .toList();
+    return unfinished().map(Map.Entry::getKey).toList();
   }
 
   /** The number of requests whose clients still wait for the end of their answer. */
   long unfinishedCount() {
-    return requests.values().stream().filter(request -> !request.isFinished()).count();
+    return unfinished().count();
+  }
+
+  private Stream<Map.Entry<Long, OpenRequest>> unfinished() {
+    return requests.entrySet().stream().filter(entry -> !entry.getValue().isFinished());
   }
 
   /** The number of requests in memory, finished ones included. */
--- a/sidecar/src/main/java/dillcross/sidecar/RequestCoordinator.java
+++ b/sidecar/src/main/java/dillcross/sidecar/RequestCoordinator.java
@@ -115,11 +115,10 @@
         incoming.isRepeat());
     if (incoming.isBodyIncomplete()) {
       balancer.onRequestBody(nowUs, id, false, true);
-      if (limit.arrivalUs() < Long.MAX_VALUE) {
-        applyLimit(nowUs, id, request);
-      }
+      updateDeadline(nowUs, id, request);
     } else {
-      startDeadline(nowUs, id, request);
+      request.startDeadline(nowUs);
+      timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
     }
     return id;
   }
@@ -137,18 +136,17 @@
       return;
     }
     for (long id : requests.unfinishedIds()) {
-      applyLimit(nowUs, id, requests.find(id));
+      updateDeadline(nowUs, id, requests.find(id));
     }
   }
 
-  private void applyLimit(long nowUs, long id, OpenRequest request) {
-    balancer.onBodyDeadline(nowUs, id, request.deadlineUs());
-    timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
-  }
-
-  private void startDeadline(long sentUs, long id, OpenRequest request) {
-    request.startDeadline(sentUs);
-    timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
+  /** Tells the load balancer the deadline of a request, and sets its timer if it has one. */
+  private void updateDeadline(long nowUs, long id, OpenRequest request) {
+    long deadlineUs = request.deadlineUs();
+    balancer.onBodyDeadline(nowUs, id, deadlineUs);
+    if (deadlineUs < Long.MAX_VALUE) {
+      timers.add(deadlineUs, TimerKind.REQUEST_DEADLINE, id, 0);
+    }
   }
 
   /**
@@ -177,10 +175,7 @@
       return;
     }
     request.setMayHaveEndedSince(mayHaveEnded ? nowUs : 0);
-    balancer.onBodyDeadline(nowUs, id, request.deadlineUs());
-    if (mayHaveEnded) {
-      timers.add(request.deadlineUs(), TimerKind.REQUEST_DEADLINE, id, 0);
-    }
+    updateDeadline(nowUs, id, request);
   }
 
   /**
@@ -193,8 +188,8 @@
       long sinceUs = request.mayHaveEndedSinceUs();
       long sentUs = sinceUs > 0 ? sinceUs : nowUs;
       request.completeBody(nowUs);
-      startDeadline(sentUs, id, request);
-      balancer.onBodyDeadline(nowUs, id, request.deadlineUs());
+      request.startDeadline(sentUs);
+      updateDeadline(nowUs, id, request);
       balancer.onRequestBody(nowUs, id, true, request.isReplayable());
     }
   }
