Deferred reads keep the paused flag out of it; one loop accepts; one longest timeout

A deferral set the flag that says that the buffer is full, and resume could end it early. The loop that accepts began with a count that was off by one on purpose, and each iteration looked for closed listening sockets. ClientExpiry rejected requests at a stop by the longest timeout of the newest settings, ShutdownSequence by that of all settings so far. Change: defer and endDeferral only switch the reports of reads; ClientReadScheduler.remove switches them on again. acceptOne; a closed listening socket does not accept. Connection.onReadable calls readUpTo. ClientExpiry is given the longest timeout that an open request may have, as ShutdownSequence is; after a reload that shortens timeouts, a stalled long body and a request that is incomplete at a stop may now wait for the earlier, longer one.

--- a/sidecar/src/main/java/dillcross/net/SidecarServer.java
+++ b/sidecar/src/main/java/dillcross/net/SidecarServer.java
@@ -391,7 +391,7 @@
     boolean closesIdle = lifecycle.isStopping() && lifecycle.closesIdleConnections(now);
     if (now - lastExpiryUs >= EXPIRY_INTERVAL_US || closesIdle) {
       lastExpiryUs = now;
-      listener.expire(now);
+      listener.expire(now, maxTimeoutUs);
       admin.expire(now);
     }
     if (lifecycle.isStopping()) {
--- a/sidecar/src/main/java/dillcross/net/client/ClientExpiry.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientExpiry.java
@@ -19,7 +19,7 @@
   // The longest time for a complete request to arrive: enough for up to 64 KiB of body from a slow
   // client, and slack.
   private static final long BODY_TIMEOUT_US = 4_000_000;
-  // The longest time for which a large request waits to be read on.
+  // The longest time for which a large request waits in the queue of reads.
   private static final long DEFERRAL_TIMEOUT_US = 1_000_000;
   // The longest time without a request. Clients that send one request and stay connected would
   // accumulate otherwise.
@@ -33,7 +33,6 @@
   private final ClientExchanges exchanges;
   private final ClientResponder responder;
   private final RetryAfter retryAfter;
-  private long maxTimeoutUs;
 
   ClientExpiry(
       RequestCoordinator coordinator,
@@ -52,13 +51,8 @@
     this.retryAfter = retryAfter;
   }
 
-  /** Sets the longest request timeout, in microseconds. */
-  void configure(long newMaxTimeoutUs) {
-    maxTimeoutUs = newMaxTimeoutUs;
-  }
-
   /** See {@link ClientListener#expire}. */
-  void expire(long nowUs) {
+  void expire(long nowUs, long maxTimeoutUs) {
     boolean rejectsIncomplete = lifecycle.rejectsIncomplete(maxTimeoutUs, nowUs);
     for (Connection connection : connections.snapshot()) {
       connection.noteProgress(nowUs);
@@ -69,7 +63,7 @@
       } else if (connection.isClosing()) {
         expireClosing(connection, nowUs);
       } else if (pending.isPresent()) {
-        expireBody(connection, pending.get(), nowUs);
+        expireBody(connection, pending.get(), nowUs, maxTimeoutUs);
       } else if (rejectsIncomplete && connection.hasPartialMessage()) {
         rejectUnread(connection, RequestEvent.REQUEST_INCOMPLETE, "shutting down");
       } else if (reads.isDeferred(connection)) {
@@ -89,7 +83,8 @@
   }
 
   /** Ends an exchange whose large request body has stalled. */
-  private void expireBody(Connection connection, PendingRequest pending, long nowUs) {
+  private void expireBody(
+      Connection connection, PendingRequest pending, long nowUs, long maxTimeoutUs) {
     if (!connection.parser().isStreaming()) {
       return;
     }
@@ -115,8 +110,8 @@
   }
 
   /**
-   * Rejects a request that has waited too long to be read: the client of the one before it in the
-   * queue may have disconnected, which is not seen until all that it sent was read.
+   * Rejects a request that has waited too long to be read. Its client may have disconnected, which
+   * would not be seen until all that it has sent was read.
    */
   private void expireDeferred(Connection connection) {
     if (reads.deferredForUs(connection) > DEFERRAL_TIMEOUT_US) {
@@ -127,7 +122,7 @@
   /** Rejects a request of which nothing was forwarded, so that a retry is safe. */
   private void rejectUnread(Connection connection, RequestEvent event, String text) {
     exchanges.record(event, connection);
-    reads.forget(connection);
+    reads.remove(connection);
     responder.rejectAndClose(connection, HttpResponse.rejection(text, retryAfter.us()));
   }
 
--- a/sidecar/src/main/java/dillcross/net/client/ClientListener.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientListener.java
@@ -104,7 +104,6 @@
     settings.requestClasses().forEach(served -> byName.put(served.name(), served));
     requestClasses = byName;
     maxTimeoutUs = newMaxTimeoutUs;
-    expiry.configure(newMaxTimeoutUs);
     retryAfter.configure(settings.maxRetryAfterUs());
   }
 
@@ -282,9 +281,11 @@
    * connections: with a 408 response if a request has not arrived in time, and without one if the
    * client has sent nothing or does not read its response. A streamed body or a response may be
    * slow as long as bytes of it arrive or are taken.
+   *
+   * @param longestTimeoutUs the longest timeout that an open request may have
    */
-  public void expire(long nowUs) {
-    expiry.expire(nowUs);
+  public void expire(long nowUs, long longestTimeoutUs) {
+    expiry.expire(nowUs, longestTimeoutUs);
   }
 
   private void recordInvalid(HttpRequest request, int status) {
--- a/sidecar/src/main/java/dillcross/net/client/ClientReadScheduler.java
+++ b/sidecar/src/main/java/dillcross/net/client/ClientReadScheduler.java
@@ -15,14 +15,12 @@
  * the selector thread.
  */
 final class ClientReadScheduler {
-  /** How many bytes of a request are read at once. */
-  static final int SMALL_REQUEST_BYTES = 4 << 10;
-
-  /** How many bytes of a connection in the queue are read at a time. */
-  static final int DEFERRED_READ_BYTES = 16 << 10;
-
-  /** How many such reads one iteration of the event loop makes. */
-  static final int MAX_DEFERRED_READS = 4;
+  // The bytes of a request that are read at once.
+  private static final int SMALL_REQUEST_BYTES = 4 << 10;
+  // The bytes that one read of a connection in the queue takes.
+  private static final int DEFERRED_READ_BYTES = 16 << 10;
+  // The reads from the queue in one iteration of the event loop.
+  private static final int MAX_DEFERRED_READS = 4;
 
   private final LongSupplier clock;
   private final Map<Connection, Long> deferred = new LinkedHashMap<>(); // with when they joined
@@ -56,14 +54,18 @@
       connection.onReadable();
     } else if (connection.bufferedMessageBytes() < SMALL_REQUEST_BYTES) {
       connection.readUpTo(SMALL_REQUEST_BYTES);
-      if (hasUnreadRequest(connection)) {
-        defer(connection);
-      }
+      deferIfUnread(connection);
     } else {
       defer(connection);
     }
   }
 
+  private void deferIfUnread(Connection connection) {
+    if (hasUnreadRequest(connection)) {
+      defer(connection);
+    }
+  }
+
   private static boolean hasUnreadRequest(Connection connection) {
     return isReceivingRequest(connection) && connection.input().unreadSinceUs() > 0;
   }
@@ -97,9 +99,11 @@
     return nowUs - deferred.getOrDefault(connection, nowUs);
   }
 
-  /** Removes a connection from the queue whose request is not to be read. */
-  void forget(Connection connection) {
-    deferred.remove(connection);
+  /** Removes a connection from the queue, if it is in it: its request is not to be read. */
+  void remove(Connection connection) {
+    if (deferred.remove(connection) != null) {
+      connection.input().endDeferral();
+    }
   }
 
   /** Reads from the first connections in the queue; returns whether there was one. */
@@ -119,11 +123,9 @@
     boolean isSameRequest = connection.activity().requestCount() == requestsBefore;
     if (hasUnreadRequest(connection) && isSameRequest) {
       connection.input().defer(); // it stays the first, so that its memory is soon free again
-      return;
-    }
-    deferred.remove(connection);
-    if (hasUnreadRequest(connection)) {
-      defer(connection);
+    } else {
+      deferred.remove(connection);
+      deferIfUnread(connection);
     }
   }
 }
--- a/sidecar/src/main/java/dillcross/net/connection/Connection.java
+++ b/sidecar/src/main/java/dillcross/net/connection/Connection.java
@@ -62,8 +62,7 @@
 
   @Override
   public void onReadable() {
-    input.fill();
-    HttpConnectionCodec.read(this);
+    readUpTo(Integer.MAX_VALUE);
   }
 
   /** As {@link #onReadable}, but reads only until the input buffer holds {@code maxBytes}. */
--- a/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
+++ b/sidecar/src/main/java/dillcross/net/connection/ConnectionInput.java
@@ -181,19 +181,17 @@
     }
   }
 
-  /** Stops reading until {@link #endDeferral}; what has arrived by then counts as unread. */
+  /** Has no reads reported until {@link #endDeferral}; what has arrived by then is unread. */
   public void defer() {
     if (unreadSinceUs == 0) {
       unreadSinceUs = clock.getAsLong();
     }
-    isPaused = true;
     setReadInterest(false);
   }
 
-  /** Allows reads again after {@link #defer}. */
+  /** Has reads reported again after {@link #defer}, unless reading is paused. */
   public void endDeferral() {
-    setReadInterest(true);
-    isPaused = false;
+    setReadInterest(!isPaused);
   }
 
   private void setReadInterest(boolean interested) {
--- a/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyListeningSocket.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/GrizzlyListeningSocket.java
@@ -67,15 +67,21 @@
     } catch (IOException e) {
       LOG.warning("connections in the backlog are reset, because accepting them failed: " + e);
     }
+    isAccepting = false;
     server.closeSilently();
   }
 
   private void acceptWaiting(int maxCount) throws IOException {
-    long first = counter.accepted();
-    long before = first - 1;
-    while (isAccepting && before != counter.accepted() && counter.accepted() - first < maxCount) {
-      before = counter.accepted();
-      server.onAccept(); // accepts at most one
+    int count = 0;
+    while (isAccepting && count < maxCount && acceptOne()) {
+      count++;
     }
   }
+
+  /** Accepts a connection; returns whether one was waiting. */
+  private boolean acceptOne() throws IOException {
+    long before = counter.accepted();
+    server.onAccept();
+    return counter.accepted() != before;
+  }
 }
--- a/sidecar/src/main/java/dillcross/net/grizzly/SelectorLoop.java
+++ b/sidecar/src/main/java/dillcross/net/grizzly/SelectorLoop.java
@@ -50,15 +50,10 @@
     listeningSockets.add(socket);
   }
 
-  private void acceptConnections() {
-    listeningSockets.removeIf(socket -> !socket.isOpen());
-    listeningSockets.forEach(GrizzlyListeningSocket::acceptRest);
-  }
-
   @Override
   public boolean preSelect(SelectorRunner runner) throws IOException {
     boolean proceeds = super.preSelect(runner);
-    acceptConnections();
+    listeningSockets.forEach(GrizzlyListeningSocket::acceptRest);
     task.afterEvents();
     return proceeds;
   }
