--- a/sidecar/src/test/java/dillcross/cli/CrowdIT.java
+++ b/sidecar/src/test/java/dillcross/cli/CrowdIT.java
@@ -1,5 +1,6 @@
 package dillcross.cli;
 
+import static dillcross.cli.HttpMessages.chunk;
 import static dillcross.cli.HttpMessages.send;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -47,10 +48,6 @@
 
   /** A chunked request that proves to be malformed when all of it has been read. */
   private String largeMalformedRequest() {
-    String chunk = Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n";
-    return request("/buy/ok")
-        .replace(
-            "Content-Length: 3\r\n\r\nabc",
-            "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(CHUNKS) + "malformed\r\n");
+    return withChunks(request("/buy/ok"), chunk(CHUNK_BYTES).repeat(CHUNKS) + "malformed\r\n");
   }
 }
--- a/sidecar/src/test/java/dillcross/cli/HttpMessages.java
+++ b/sidecar/src/test/java/dillcross/cli/HttpMessages.java
@@ -32,6 +32,11 @@
         + body;
   }
 
+  /** A chunk of a body. */
+  static String chunk(int bytes) {
+    return Integer.toHexString(bytes) + "\r\n" + "x".repeat(bytes) + "\r\n";
+  }
+
   /** Writes a text with one byte for each character. */
   static void send(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
--- a/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
+++ b/sidecar/src/test/java/dillcross/cli/MemoryLimitIT.java
@@ -1,5 +1,6 @@
 package dillcross.cli;
 
+import static dillcross.cli.HttpMessages.chunk;
 import static dillcross.cli.HttpMessages.exchange;
 import static dillcross.cli.HttpMessages.readResponse;
 import static dillcross.cli.HttpMessages.send;
@@ -260,11 +261,8 @@
     for (int i = 0; i < HEAD_FIELDS; i++) {
       fields.append("X-").append(i).append(": ").append("n".repeat(35)).append("\r\n");
     }
-    String chunk = Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n";
-    return request("/buy/ok")
-        .replace(
-            "Content-Length: 3\r\n\r\nabc",
-            fields + "Transfer-Encoding: chunked\r\n\r\n" + chunk.repeat(CHUNKS));
+    String request = withChunks(request("/buy/ok"), chunk(CHUNK_BYTES).repeat(CHUNKS));
+    return request.replace("Transfer-Encoding", fields + "Transfer-Encoding");
   }
 
   /** Sends what the sidecar takes: it may refuse the request before all of it was sent. */
--- a/sidecar/src/test/java/dillcross/cli/SidecarFixture.java
+++ b/sidecar/src/test/java/dillcross/cli/SidecarFixture.java
@@ -36,6 +36,9 @@
       "{\"name\":\"once\",\"effect\":\"at_most_once\",\"target_latency_ms\":400,"
           + "\"ttl_ms\":2000,\"benefit\":1}";
 
+  /** The body of a request, with the end of its head. */
+  private static final String BODY = "Content-Length: 3\r\n\r\nabc";
+
   private static final int READ_TIMEOUT_MS = 20_000;
   private static final int POLL_INTERVAL_MS = 2;
 
@@ -151,13 +154,17 @@
             + "\r\nX-Trace: t\r\n";
     return path.matches("/(read|view).*")
         ? "GET " + path + head + "\r\n"
-        : "POST " + path + head + "Idempotency-Key: k9\r\nContent-Length: 3\r\n\r\nabc";
+        : "POST " + path + head + "Idempotency-Key: k9\r\n" + BODY;
   }
 
   /** Replaces the body of a request; {@code length} is the Content-Length that it states. */
   static String withBody(String request, int length, String body) {
-    return request.replace(
-        "Content-Length: 3\r\n\r\nabc", "Content-Length: " + length + "\r\n\r\n" + body);
+    return request.replace(BODY, "Content-Length: " + length + "\r\n\r\n" + body);
+  }
+
+  /** Replaces the body of a request by a chunked one. */
+  static String withChunks(String request, String chunks) {
+    return request.replace(BODY, "Transfer-Encoding: chunked\r\n\r\n" + chunks);
   }
 
   /** Sends a request on a new connection; returns the status of the response. */
--- a/sidecar/src/test/java/dillcross/cli/SlowMessagesIT.java
+++ b/sidecar/src/test/java/dillcross/cli/SlowMessagesIT.java
@@ -1,5 +1,6 @@
 package dillcross.cli;
 
+import static dillcross.cli.HttpMessages.chunk;
 import static dillcross.cli.HttpMessages.readBody;
 import static dillcross.cli.HttpMessages.readHead;
 import static dillcross.cli.HttpMessages.readResponse;
@@ -75,12 +76,9 @@
     }
     StringBuilder body = new StringBuilder();
     for (int left = bodyBytes; left > 0; left -= CHUNK_BYTES) {
-      int length = Math.min(CHUNK_BYTES, left);
-      body.append(Integer.toHexString(length)).append("\r\n").append("x".repeat(length));
-      body.append("\r\n");
+      body.append(chunk(Math.min(CHUNK_BYTES, left)));
     }
-    return request.replace(
-        "Content-Length: 3\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n");
+    return withChunks(request, body + "0\r\n\r\n");
   }
 
   private static long elapsedMs(long sinceNs) {
--- a/sidecar/src/test/java/dillcross/net/LargeRequestsTest.java
+++ b/sidecar/src/test/java/dillcross/net/LargeRequestsTest.java
@@ -1,5 +1,6 @@
 package dillcross.net;
 
+import static dillcross.net.VirtualSidecar.chunk;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -15,7 +16,7 @@
   private static final int CROWD = 12;
   private static final int MAX_READS = 4; // of large requests, in one iteration
   private static final int LARGE_CROWD = 240; // more than are read in 1.4 s of virtual time
-  private static final String CHUNK = "3e8\r\n" + "x".repeat(1000) + "\r\n";
+  private static final int CHUNK_BYTES = 1000;
   private static final String SMALL_BODY = "abc";
 
   private final VirtualSidecar sidecar;
@@ -82,7 +83,7 @@
     List<FakeNetwork.FakeChannel> clients = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       FakeNetwork.FakeChannel client = sidecar.connect();
-      client.receive(sidecar.postChunked() + CHUNK.repeat(20) + "malformed\r\n");
+      client.receive(sidecar.postChunked() + chunk(CHUNK_BYTES).repeat(20) + "malformed\r\n");
       clients.add(client);
     }
     return clients;
--- a/sidecar/src/test/java/dillcross/net/ShutdownTest.java
+++ b/sidecar/src/test/java/dillcross/net/ShutdownTest.java
@@ -1,5 +1,8 @@
 package dillcross.net;
 
+import static dillcross.net.VirtualSidecar.OK;
+import static dillcross.net.VirtualSidecar.assertAnswered;
+import static dillcross.net.VirtualSidecar.chunk;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -14,6 +17,7 @@
  */
 class ShutdownTest {
   private static final int EARLIEST_KILL_MS = VirtualSidecar.MAX_TIMEOUT_MS + 700;
+  private static final int LAST_BYTE_MS = VirtualSidecar.MAX_TIMEOUT_MS - 1000; // from SIGTERM on
   private static final int SOON_MS = 800; // accepting connections ends after 0.5 s
   private static final int LINGER_MS = 1500; // for clients to read answers
   private static final int FIRST_BYTES = 70_000; // more than is buffered before it is forwarded
@@ -22,7 +26,6 @@
   private static final int SMALL_PIECE_BYTES = 50; // the last of REST_BYTES come after the kill
   private static final int PIECE_INTERVAL_MS = 50;
   private static final int ANSWER_PIECES = 2 * EARLIEST_KILL_MS / PIECE_INTERVAL_MS;
-  private static final String OK = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok";
 
   private final VirtualSidecar sidecar;
 
@@ -45,8 +48,7 @@
     }
 
     String piece(int bytes) {
-      String piece = "x".repeat(bytes);
-      return this == CHUNKS ? Integer.toHexString(bytes) + "\r\n" + piece + "\r\n" : piece;
+      return this == CHUNKS ? chunk(bytes) : "x".repeat(bytes);
     }
   }
 
@@ -108,18 +110,14 @@
   /** A long request that was begun before the shutdown, and arrives in time, is served. */
   @Test
   void answersLongRequestThatArrivesInTime() {
-    FakeNetwork.FakeChannel client = beginUpload(Framing.LENGTH);
-    FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
-    sidecar.requestStop();
-    sidecar.advance(VirtualSidecar.MAX_TIMEOUT_MS - 1000);
-    client.receive("x".repeat(REST_BYTES));
+    Exchange exchange = completeLongRequestDuringShutdown();
     sidecar.advance(PIECE_INTERVAL_MS);
 
-    assertEquals("", client.takeWritten());
-    endpoint.receive(OK);
+    assertEquals("", exchange.client().takeWritten());
+    exchange.endpoint().receive(OK);
     sidecar.advance(PIECE_INTERVAL_MS);
 
-    assertAnswered("200", client);
+    assertAnswered("200", exchange.client());
     sidecar.advance(PIECE_INTERVAL_MS);
     assertTrue(sidecar.isStopped());
   }
@@ -127,19 +125,27 @@
   /** Guards against: the time of a long request counts from its last byte beyond the kill. */
   @Test
   void answersLongRequestBeforeTheKillWhileItsEndpointHangs() {
-    FakeNetwork.FakeChannel client = beginUpload(Framing.LENGTH);
-    sidecar.connectToEndpoint();
-    sidecar.requestStop();
-    sidecar.advance(VirtualSidecar.MAX_TIMEOUT_MS - 1000);
-    client.receive("x".repeat(REST_BYTES));
+    Exchange exchange = completeLongRequestDuringShutdown();
 
-    sidecar.advance(EARLIEST_KILL_MS - VirtualSidecar.MAX_TIMEOUT_MS + 1000 - 50);
+    sidecar.advance(EARLIEST_KILL_MS - LAST_BYTE_MS - 50);
 
-    assertAnswered("502", client);
+    assertAnswered("502", exchange.client());
     sidecar.advance(PIECE_INTERVAL_MS);
     assertTrue(sidecar.isStopped());
   }
 
+  /** A client that has sent a request, and the endpoint that got it. */
+  private record Exchange(FakeNetwork.FakeChannel client, FakeNetwork.FakeChannel endpoint) {}
+
+  private Exchange completeLongRequestDuringShutdown() {
+    FakeNetwork.FakeChannel client = beginUpload(Framing.LENGTH);
+    FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
+    sidecar.requestStop();
+    sidecar.advance(LAST_BYTE_MS);
+    client.receive("x".repeat(REST_BYTES));
+    return new Exchange(client, endpoint);
+  }
+
   /**
    * Guards against: the process ends by itself and cuts off an answer that endpoints still give.
    */
@@ -183,7 +189,7 @@
 
   /** Guards against: the process waits for clients that have sent nothing, or have their answer. */
   @Test
-  void endsSoonWhenNothingIsOwed() {
+  void endsSoonWhenNoRequestIsOpen() {
     FakeNetwork.FakeChannel silent = sidecar.connect();
     FakeNetwork.FakeChannel idle = sidecar.connect();
     idle.receive(sidecar.get());
@@ -222,9 +228,4 @@
     client.receive(framing.piece(FIRST_BYTES));
     return client;
   }
-
-  private static void assertAnswered(String status, FakeNetwork.FakeChannel client) {
-    String answer = client.takeWritten();
-    assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
-  }
 }
--- a/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
+++ b/sidecar/src/test/java/dillcross/net/SlowPeersTest.java
@@ -1,5 +1,8 @@
 package dillcross.net;
 
+import static dillcross.net.VirtualSidecar.OK;
+import static dillcross.net.VirtualSidecar.assertAnswered;
+import static dillcross.net.VirtualSidecar.chunk;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -25,7 +28,6 @@
       LONG_BODY_BYTES - SEND_BUFFER_BYTES - 2 * RING_BYTES - MAX_SENT_UNREAD_BYTES;
   private static final int UNREAD_TIMEOUT_MS = 20_000;
   private static final int FIRST_BYTES = 70_000; // more than is buffered before it is forwarded
-  private static final String OK = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok";
 
   private final VirtualSidecar sidecar;
 
@@ -119,12 +121,12 @@
   @Test
   void waitsForChunksOfSlowClient() {
     FakeNetwork.FakeChannel client = sidecar.connect();
-    String chunk = Integer.toHexString(PIECE_BYTES) + "\r\n" + "x".repeat(PIECE_BYTES) + "\r\n";
-    client.receive(sidecar.postChunked() + chunk.repeat(FIRST_BYTES / PIECE_BYTES + 1));
+    client.receive(
+        sidecar.postChunked() + chunk(PIECE_BYTES).repeat(FIRST_BYTES / PIECE_BYTES + 1));
     FakeNetwork.FakeChannel endpoint = sidecar.connectToEndpoint();
 
     for (int elapsedMs = 0; elapsedMs < 3 * VirtualSidecar.MAX_TIMEOUT_MS; elapsedMs += 1000) {
-      client.receive(chunk);
+      client.receive(chunk(PIECE_BYTES));
       sidecar.advance(1000);
     }
     client.receive("0\r\n\r\n");
@@ -285,11 +287,6 @@
     sidecar.advance(PIECE_INTERVAL_MS);
   }
 
-  private static void assertAnswered(String status, FakeNetwork.FakeChannel client) {
-    String answer = client.takeWritten();
-    assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
-  }
-
   private static int secondsToRead(int bytes) {
     return bytes / (PIECE_BYTES * 1000 / PIECE_INTERVAL_MS) + 1;
   }
--- a/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
+++ b/sidecar/src/test/java/dillcross/net/VirtualSidecar.java
@@ -1,5 +1,7 @@
 package dillcross.net;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import dillcross.balancer.LoadBalancer;
 import dillcross.common.NumericAddress;
 import dillcross.model.DeduplicationScope;
@@ -20,6 +22,9 @@
  * clients and the endpoint.
  */
 final class VirtualSidecar {
+  /** An endpoint's answer. */
+  static final String OK = "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nok";
+
   static final String ENDPOINT_ADDRESS = "127.0.0.1:1";
   private static final String DISCOVERY_ADDRESS = "127.0.0.1:2";
   static final int MAX_TIMEOUT_MS = 3000;
@@ -167,4 +172,15 @@
     network.iterate();
     return endpoint;
   }
+
+  /** A chunk of a body. */
+  static String chunk(int bytes) {
+    return Integer.toHexString(bytes) + "\r\n" + "x".repeat(bytes) + "\r\n";
+  }
+
+  /** Checks that the peer of a channel got an answer with this status, and takes the answer. */
+  static void assertAnswered(String status, FakeNetwork.FakeChannel client) {
+    String answer = client.takeWritten();
+    assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+  }
 }
